--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up .venv by itself from the pinned requirements.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := $(sort $(wildcard libs/*))
+SOURCES := $(wildcard libs/*/src)
+SEED ?= 1
+STEPS ?= 2000
+
+.PHONY: demo test lint format fuzz measure dist clean
+
+$(VENV)/.ready: requirements.txt $(wildcard libs/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(addprefix -e ,$(LIBS))
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/bilberryhitch demo
+
+test: $(VENV)/.ready
+	$(BIN)/python -m pytest
+	$(BIN)/python -m behave --format progress
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy $(SOURCES)
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+fuzz: $(VENV)/.ready
+	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
+
+measure: $(VENV)/.ready
+	$(BIN)/python -m measure --seed $(SEED)
+
+dist: $(VENV)/.ready
+	$(BIN)/python scripts/build_dist.py dist/bilberryhitch
+
+clean:
+	rm -rf $(VENV) build dist .mypy_cache .ruff_cache .pytest_cache
--- /dev/null
+++ b/libs/api/src/bilberryhitch_api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers for callers and operators."""
--- /dev/null
+++ b/libs/app/src/bilberryhitch/__init__.py
@@ -0,0 +1,1 @@
+"""The bilberryhitch command line, the entry host's wiring and the demo."""
--- /dev/null
+++ b/libs/config/src/bilberryhitch_config/__init__.py
@@ -0,0 +1,1 @@
+"""Routes and pools: commit, adoption, history and audit."""
--- /dev/null
+++ b/libs/gangs/src/bilberryhitch_gangs/__init__.py
@@ -0,0 +1,1 @@
+"""Planner leases, gang start, renewal, reclaim and the job service."""
--- /dev/null
+++ b/libs/membership/src/bilberryhitch_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live and leaving hosts: heartbeats, host list and drains."""
--- /dev/null
+++ b/libs/peers/src/bilberryhitch_peers/__init__.py
@@ -0,0 +1,35 @@
+"""The pyzmq link between entry hosts and its message types."""
+
+from .messages import (
+    CancelJob,
+    CancelReply,
+    ConfigAsk,
+    ConfigOffer,
+    DrainNotice,
+    ExplainAsk,
+    ExplainReply,
+    ForwardReply,
+    ForwardRequest,
+    Heartbeat,
+    JobNotice,
+    Message,
+    RequestStatusAsk,
+    RequestStatusReply,
+)
+
+__all__ = [
+    "CancelJob",
+    "CancelReply",
+    "ConfigAsk",
+    "ConfigOffer",
+    "DrainNotice",
+    "ExplainAsk",
+    "ExplainReply",
+    "ForwardReply",
+    "ForwardRequest",
+    "Heartbeat",
+    "JobNotice",
+    "Message",
+    "RequestStatusAsk",
+    "RequestStatusReply",
+]
--- /dev/null
+++ b/libs/requests/src/bilberryhitch_requests/__init__.py
@@ -0,0 +1,1 @@
+"""Executor slots, dispatch, idempotency claims and forwarding."""
--- /dev/null
+++ b/libs/scheduling/src/bilberryhitch_scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Cells, guarantees, placement, fair queueing and run-time estimates."""
--- /dev/null
+++ b/libs/settings/src/bilberryhitch_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: JSON with comments, a typed schema, limits."""
--- /dev/null
+++ b/libs/telemetry/src/bilberryhitch_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and OpenTelemetry metrics."""
