--- /dev/null
+++ b/libs/api/src/bilberryhitch_api/server.py
@@ -0,0 +1,78 @@
+"""The HTTP server of an entry host."""
+
+from collections.abc import Callable, Iterable
+
+from aiohttp import web
+from bilberryhitch_model import Address
+
+
+class ApiServer:
+    """Serves the API on one address.
+
+    :param routes: caller, administration and operation routes
+    :param shutdown_wait_s: how long :meth:`close` waits for open connections
+        after every handler has answered, in seconds
+    """
+
+    def __init__(
+        self,
+        bind: Address,
+        routes: Iterable[web.RouteDef],
+        *,
+        max_body_bytes: int,
+        shutdown_wait_s: float = 1.0,
+    ) -> None:
+        application = web.Application(client_max_size=max_body_bytes)
+        application.add_routes(list(routes))
+        self._bind = bind
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=shutdown_wait_s
+        )
+        self._site: web.TCPSite | None = None
+
+    @property
+    def address(self) -> Address:
+        """Where the server listens; the kernel may have chosen the port."""
+        if not self._runner.addresses:
+            return self._bind
+        ip, port = self._runner.addresses[0][:2]
+        return Address(ip, port)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, self._bind.ip, self._bind.port)
+        await self._site.start()
+
+    async def stop_listening(self) -> None:
+        """Accept no new connections; open ones are served on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
+    async def close(self) -> None:
+        """Close every connection; call it once all handlers have answered."""
+        await self._runner.cleanup()
+
+
+def health_routes(
+    ready: Callable[[], bool], metrics_text: Callable[[], bytes]
+) -> list[web.RouteDef]:
+    """Return the routes for the balancer and for metrics scrapes."""
+
+    async def healthz(_: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def readyz(_: web.Request) -> web.Response:
+        if ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def metrics(_: web.Request) -> web.Response:
+        return web.Response(body=metrics_text(), content_type="text/plain")
+
+    return [
+        web.get("/healthz", healthz),
+        web.get("/readyz", readyz),
+        web.get("/metrics", metrics),
+    ]
--- /dev/null
+++ b/libs/app/src/bilberryhitch/__main__.py
@@ -0,0 +1,5 @@
+"""Allows ``python -m bilberryhitch``."""
+
+from .main import run
+
+run()
--- /dev/null
+++ b/libs/app/src/bilberryhitch/arguments.py
@@ -0,0 +1,165 @@
+"""The command line's commands and options."""
+
+import argparse
+
+from .exit_codes import MEANINGS
+
+DEFAULT_API = "http://127.0.0.1:8470"
+
+EXAMPLES = """examples:
+  bilberryhitch demo
+  bilberryhitch check examples/muscat-ruwi-1.jsonc
+  bilberryhitch serve examples/muscat-ruwi-1.jsonc
+  bilberryhitch routes get > routes.json
+  bilberryhitch routes put routes.json --base 41
+  bilberryhitch submit clasp-simulation --tasks 16 --accelerators 1 --wait
+  bilberryhitch explain ruwi.renders.0c5b"""
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the whole command line."""
+    codes = "\n".join(f"  {int(code)}  {text}" for code, text in MEANINGS.items())
+    parser = argparse.ArgumentParser(
+        prog="bilberryhitch",
+        description="Scheduler for multi-accelerator jobs under client-account "
+        "guarantees.",
+        epilog=f"{EXAMPLES}\n\nexit codes:\n{codes}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    _add_processes(commands)
+    _add_operator_commands(commands)
+    _add_caller_commands(commands)
+    return parser
+
+
+Commands = "argparse._SubParsersAction[argparse.ArgumentParser]"
+
+
+def _add_processes(commands: Commands) -> None:  # type: ignore[valid-type]
+    serve = _command(commands, "serve", "run an entry host", "serve host.jsonc")
+    serve.add_argument("settings", metavar="SETTINGS")
+    check = _command(
+        commands,
+        "check",
+        "check a settings file or a tables file without starting anything",
+        "check tables.jsonc",
+    )
+    check.add_argument("file", metavar="SETTINGS|TABLES")
+    demo = _command(
+        commands, "demo", "run a short day of two deployments in one process", "demo"
+    )
+    demo.add_argument("--seed", type=int, default=1)
+    demo.add_argument("--seconds", type=float, default=12.0, help="length of a day")
+    _add_standins(commands)
+
+
+def _add_standins(commands: Commands) -> None:  # type: ignore[valid-type]
+    standin = _command(
+        commands,
+        "standin",
+        "run a stand-in of an outside system",
+        "standin worker --name w1 --data-centre ruwi --platform http://127.0.0.1:9000",
+    )
+    standin.add_argument("kind", choices=("platform", "executor", "worker"))
+    standin.add_argument("--bind", default="127.0.0.1")
+    standin.add_argument("--port", type=int, default=0, help="0: the kernel chooses")
+    standin.add_argument("--platform", default="", help="platform URL to register at")
+    standin.add_argument("--name", default="")
+    standin.add_argument("--data-centre", default="")
+    standin.add_argument("--rack", default="")
+    standin.add_argument("--position", type=int, default=0)
+    standin.add_argument("--accelerators", type=int, default=8)
+    standin.add_argument("--cores", type=int, default=32)
+    standin.add_argument("--memory-gb", type=int, default=64)
+
+
+def _add_operator_commands(commands: Commands) -> None:  # type: ignore[valid-type]
+    for table in ("routes", "pools"):
+        command = _command(
+            commands, table, f"read or replace the {table} table", f"{table} get"
+        )
+        _add_api(command)
+        actions = command.add_subparsers(dest="action", required=True)
+        actions.add_parser("get", help="print the table as JSON")
+        put = actions.add_parser("put", help="replace the table")
+        put.add_argument("file", metavar="FILE")
+        put.add_argument("--base", type=int, required=True, help="revision you edited")
+        put.add_argument("--dry-run", action="store_true", help="only show differences")
+    config = _command(commands, "config", "state of the tables", "config status")
+    _add_api(config)
+    config.add_argument("action", choices=("status", "history"))
+    config.add_argument("--limit", type=int, default=20)
+    for name, text in (
+        ("drain", "take a host out of use"),
+        ("undrain", "undo a drain"),
+    ):
+        drain = _command(commands, name, text, f"{name} ruwi-2")
+        _add_api(drain)
+        drain.add_argument("host", metavar="HOST")
+    audit = _command(commands, "audit", "who changed what", "audit --limit 50")
+    _add_api(audit)
+    audit.add_argument("--limit", type=int, default=20)
+
+
+def _add_caller_commands(commands: Commands) -> None:  # type: ignore[valid-type]
+    request = _command(
+        commands, "request", "send a request and print its answer", "request fit-check"
+    )
+    _add_api(request)
+    request.add_argument("route", metavar="ROUTE")
+    request.add_argument("--body", default="")
+    request.add_argument("--key", default="", help="idempotency key")
+    submit = _command(
+        commands, "submit", "submit a job", "submit renders --tasks 16 --accelerators 1"
+    )
+    _add_api(submit)
+    submit.add_argument("route", metavar="ROUTE")
+    submit.add_argument("--tasks", type=int, default=1)
+    submit.add_argument("--accelerators", type=int, default=0, help="per task")
+    submit.add_argument("--cores", type=int, default=1, help="per task")
+    submit.add_argument("--memory-gb", type=int, default=1, help="per task")
+    submit.add_argument("--run", default="", help="text passed to every task")
+    submit.add_argument("--key", default="", help="idempotency key")
+    submit.add_argument("--wait", action="store_true", help="wait for the outcome")
+    for name, text in (
+        ("status", "state of a job"),
+        ("cancel", "cancel a job"),
+        ("explain", "why a job is where it is"),
+    ):
+        command = _command(commands, name, text, f"{name} ruwi.renders.0c5b")
+        _add_api(command)
+        command.add_argument("job", metavar="JOB")
+    wait = _command(commands, "wait", "wait for a job", "wait ruwi.renders.0c5b")
+    _add_api(wait)
+    wait.add_argument("job", metavar="JOB")
+    wait.add_argument("--timeout", type=float, default=0.0, help="seconds; 0: no limit")
+
+
+def _command(
+    commands: Commands,  # type: ignore[valid-type]
+    name: str,
+    text: str,
+    example: str,
+) -> argparse.ArgumentParser:
+    parser: argparse.ArgumentParser = commands.add_parser(  # type: ignore[attr-defined]
+        name,
+        help=text,
+        description=text[0].upper() + text[1:] + ".",
+        epilog=f"example:\n  bilberryhitch {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    return parser
+
+
+def _add_api(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--api",
+        default="",
+        help=f"URL of an entry host (BILBERRYHITCH_API, else {DEFAULT_API})",
+    )
+    parser.add_argument(
+        "--token-file",
+        default="",
+        help="file with the token (else BILBERRYHITCH_TOKEN)",
+    )
--- /dev/null
+++ b/libs/app/src/bilberryhitch/main.py
@@ -0,0 +1,101 @@
+"""Entry point of the command line."""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from .arguments import build_parser
+from .exit_codes import ExitCode
+
+Command = Callable[[argparse.Namespace], ExitCode]
+
+
+def run() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(int(execute(sys.argv[1:])))
+
+
+def execute(words: list[str]) -> ExitCode:
+    """Run one command.
+
+    :param words: the arguments after the program's name
+    """
+    arguments = build_parser().parse_args(words)
+    return _find_command(arguments.command)(arguments)
+
+
+def _find_command(name: str) -> Command:
+    """Import only what the command needs: a process for callers stays small."""
+    if name == "serve":
+        from .serve_command import serve
+
+        return serve
+    if name == "check":
+        from .check_command import check
+
+        return check
+    if name == "standin":
+        from .standin_command import standin
+
+        return standin
+    if name == "demo":
+        from .demo_command import demo
+
+        return demo
+    return _api_command(name)
+
+
+def _api_command(name: str) -> Command:
+    from . import caller_commands, operator_commands
+    from .api_client import ApiClient
+
+    commands: dict[
+        str, Callable[[ApiClient, argparse.Namespace], Awaitable[ExitCode]]
+    ] = {
+        "routes": operator_commands.routes_or_pools,
+        "pools": operator_commands.routes_or_pools,
+        "config": operator_commands.config,
+        "drain": operator_commands.drain,
+        "undrain": operator_commands.drain,
+        "audit": operator_commands.audit,
+        "request": caller_commands.send_request,
+        "submit": caller_commands.submit_job,
+        "status": caller_commands.job_status,
+        "wait": caller_commands.wait_for_job,
+        "cancel": caller_commands.cancel_job,
+        "explain": caller_commands.explain_job,
+    }
+    command = commands[name]
+    return lambda arguments: asyncio.run(_call(command, arguments))
+
+
+async def _call(
+    command: Callable[..., Awaitable[ExitCode]], arguments: argparse.Namespace
+) -> ExitCode:
+    from .api_client import client_from_arguments
+
+    try:
+        client = client_from_arguments(arguments)
+    except OSError as error:
+        sys.stderr.write(f"{error.filename}: {error.strerror}\n")
+        return ExitCode.BAD_INPUT
+    await client.start()
+    try:
+        return await command(client, arguments)
+    except OSError as error:
+        if isinstance(error, aiohttp.ClientError):
+            return _unreachable(error)
+        sys.stderr.write(f"{error.filename}: {error.strerror}\n")
+        return ExitCode.BAD_INPUT
+    except aiohttp.ClientError as error:
+        return _unreachable(error)
+    finally:
+        await client.close()
+
+
+def _unreachable(error: Exception) -> ExitCode:
+    sys.stderr.write(f"no entry host answered: {error}\n")
+    return ExitCode.UNREACHABLE
--- /dev/null
+++ b/libs/app/src/bilberryhitch/standin_command.py
@@ -0,0 +1,103 @@
+"""The ``standin`` command: one stand-in of an outside system per process."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import uuid
+from typing import Protocol
+
+import aiohttp
+import uvloop
+from bilberryhitch_model import Address, Host, HostKind, encode
+
+from .exit_codes import ExitCode
+
+
+class Standin(Protocol):
+    """What every stand-in offers."""
+
+    async def start(self) -> Address:
+        """Listen and return the address in use."""
+
+    async def close(self) -> None:
+        """Stop."""
+
+
+def standin(arguments: argparse.Namespace) -> ExitCode:
+    """Run a stand-in until SIGTERM or SIGINT."""
+    if arguments.kind != "platform" and not (arguments.name and arguments.data_centre):
+        sys.stderr.write("--name and --data-centre are needed\n")
+        return ExitCode.BAD_INPUT
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_run(arguments))
+
+
+async def _run(arguments: argparse.Namespace) -> ExitCode:
+    host = _host_row(arguments)
+    server = _make_standin(arguments, host)
+    address = await server.start()
+    try:
+        if arguments.platform and arguments.kind != "platform":
+            await register(
+                arguments.platform,
+                host._replace(address=f"{address.ip}:{address.port}"),
+            )
+        sys.stdout.write(f"listening on {address.ip}:{address.port}\n")
+        sys.stdout.flush()
+        await wait_for_stop_signal()
+    finally:
+        await server.close()
+    return ExitCode.OK
+
+
+def _host_row(arguments: argparse.Namespace) -> Host:
+    kind: HostKind = "executor" if arguments.kind == "executor" else "worker"
+    return Host(
+        name=arguments.name,
+        kind=kind,
+        data_centre=arguments.data_centre,
+        address="",
+        boot_id=uuid.uuid4().hex,
+        rack=arguments.rack,
+        position=arguments.position,
+        accelerators=arguments.accelerators if kind == "worker" else 0,
+        cores=arguments.cores,
+        memory_gb=arguments.memory_gb,
+    )
+
+
+def _make_standin(arguments: argparse.Namespace, host: Host) -> Standin:
+    if arguments.kind == "platform":
+        from bilberryhitch_standins import PlatformStandin
+
+        return PlatformStandin(arguments.bind, arguments.port)
+    if arguments.kind == "executor":
+        from bilberryhitch_standins import ExecutorStandin
+
+        return ExecutorStandin(host, arguments.bind, arguments.port)
+    from bilberryhitch_standins import WorkerStandin
+
+    return WorkerStandin(host, arguments.bind, arguments.port)
+
+
+async def register(platform_url: str, host: Host) -> None:
+    """Put a host's row into the stand-in platform's host list.
+
+    :raises aiohttp.ClientError: the platform did not take the row
+    """
+    url = f"{platform_url.rstrip('/')}/v1/hosts/{host.name}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.put(url, data=encode(host)) as response,
+    ):
+        response.raise_for_status()
+
+
+async def wait_for_stop_signal() -> None:
+    """Return when the process is asked to stop."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
