Add the platform's HTTP client, retry budget and operations sweeper

A write is sent once: a refused connection or an answer marked Platform-Effect: none has no effect, everything else is uncertain. The sweeper measures age in store revisions marked at intervals on observers' own clocks. Time stamps in the rows were ruled out: one wrong clock would delete a row early and let a repeated transaction apply twice.

--- a/libs/platform/src/bilberryhitch_platform/__init__.py
+++ b/libs/platform/src/bilberryhitch_platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform: table service, object store and host list."""
 
 from .commit import abandon, commit
+from .http_client import PlatformClient
 from .interfaces import (
     Delete,
     Expect,
@@ -13,6 +14,8 @@
     Write,
 )
 from .memory import MemoryHostList, MemoryObjects, MemoryTables
+from .retry_budget import RetryBudget
+from .sweeper import OperationsSweeper
 
 __all__ = [
     "Delete",
@@ -22,8 +25,11 @@
     "MemoryObjects",
     "MemoryTables",
     "ObjectStore",
+    "OperationsSweeper",
     "Page",
+    "PlatformClient",
     "Put",
+    "RetryBudget",
     "Row",
     "TableService",
     "Write",
--- /dev/null
+++ b/libs/platform/src/bilberryhitch_platform/wire.py
@@ -0,0 +1,107 @@
+"""Bodies of the platform's HTTP protocol, as in ``docs/platform-protocol.md``.
+
+JSON; bytes travel as base64, which msgspec does on both sides.
+"""
+
+import msgspec
+
+from .interfaces import Delete, Expect, Page, Put, Row, Write
+
+EFFECT_HEADER = "Platform-Effect"
+NO_EFFECT = "none"
+MAX_TRANSACTION_BYTES = 4 * 1024 * 1024
+MAX_OBJECT_BYTES = 64 * 1024 * 1024
+MAX_SCAN_ROWS = 1000
+
+
+class WireRow(msgspec.Struct):
+    """A row; ``revision`` as in :class:`~.interfaces.Row`."""
+
+    key: str
+    value: bytes
+    revision: int
+
+    @classmethod
+    def of(cls, row: Row) -> "WireRow":
+        """Return the wire form of a row."""
+        return cls(row.key, row.value, row.revision)
+
+    def row(self) -> Row:
+        """Return the row."""
+        return Row(self.key, self.value, self.revision)
+
+
+class RowAnswer(msgspec.Struct):
+    """Answer to a read of one row."""
+
+    row: WireRow | None
+
+
+class PageAnswer(msgspec.Struct):
+    """Answer to a scan."""
+
+    rows: list[WireRow]
+    revision: int
+    more: bool
+
+    @classmethod
+    def of(cls, page: Page) -> "PageAnswer":
+        """Return the wire form of a page."""
+        rows = [WireRow.of(row) for row in page.rows]
+        return cls(rows, page.revision, page.more)
+
+    def page(self) -> Page:
+        """Return the page."""
+        return Page(tuple(row.row() for row in self.rows), self.revision, self.more)
+
+
+class WireExpect(msgspec.Struct):
+    """A condition of a transaction."""
+
+    key: str
+    revision: int
+
+
+class WireWrite(msgspec.Struct):
+    """A write; no value means that the row is removed."""
+
+    key: str
+    value: bytes | None = None
+
+
+class Transaction(msgspec.Struct):
+    """Body of a transaction."""
+
+    expects: list[WireExpect]
+    writes: list[WireWrite]
+
+    def product_expects(self) -> list[Expect]:
+        """Return the conditions as the interfaces have them."""
+        return [Expect(expect.key, expect.revision) for expect in self.expects]
+
+    def product_writes(self) -> list[Write]:
+        """Return the writes as the interfaces have them."""
+        return [
+            Delete(write.key) if write.value is None else Put(write.key, write.value)
+            for write in self.writes
+        ]
+
+
+class Committed(msgspec.Struct):
+    """Answer to a transaction that was applied."""
+
+    revision: int
+
+
+class Conflicted(msgspec.Struct):
+    """Answer to a transaction whose condition failed."""
+
+    key: str
+    found_revision: int
+
+
+def wire_write(write: Write) -> WireWrite:
+    """Return the wire form of a write."""
+    if isinstance(write, Delete):
+        return WireWrite(write.key)
+    return WireWrite(write.key, write.value)
