Add the peer link

Messages wait in a queue of this process until a connection takes them, so an expired call can be withdrawn and reported as unsent. ZeroMQ's own queue for unconnected peers was ruled out: it would deliver withdrawn calls later. Heartbeat and DrainNotice get fields, with defaults, for catching up.

--- a/libs/peers/src/bilberryhitch_peers/__init__.py
+++ b/libs/peers/src/bilberryhitch_peers/__init__.py
@@ -1,5 +1,6 @@
 """The pyzmq link between entry hosts and its message types."""
 
+from .link import LinkCounts, PeerLink
 from .messages import (
     CancelJob,
     CancelReply,
@@ -29,7 +30,9 @@
     "ForwardRequest",
     "Heartbeat",
     "JobNotice",
+    "LinkCounts",
     "Message",
+    "PeerLink",
     "RequestStatusAsk",
     "RequestStatusReply",
 ]
--- a/libs/peers/src/bilberryhitch_peers/messages.py
+++ b/libs/peers/src/bilberryhitch_peers/messages.py
@@ -14,6 +14,8 @@
     :ivar usage: cost served since the start of the incarnation, in accelerator
         or slot seconds, by ``<pool>/<client account>``
     :ivar free_slots: executor slots free at the sender, by pool
+    :ivar drains_revision: store revision up to which the sender knows all drains
+    :ivar marks_digest: digest of the runs of hosts the sender knows to be leaving
     """
 
     host: str
@@ -23,6 +25,8 @@
     config_revision: int
     usage: dict[str, float] = {}
     free_slots: dict[str, int] = {}
+    drains_revision: int = 0
+    marks_digest: int = 0
 
 
 class ConfigOffer(msgspec.Struct, frozen=True, tag="config_offer"):
@@ -46,14 +50,17 @@
 class DrainNotice(msgspec.Struct, frozen=True, tag="drain_notice"):
     """A host is leaving, or its drain was undone.
 
-    :ivar store_revision: revision of the drain row; 0 for the host's own word
-    :ivar boot_id: run of the host that the notice is about, or empty
+    :ivar store_revision: revision of the drain row; 0 when the notice is not
+        about a drain
+    :ivar boot_id: boot of the host that the platform's list called leaving
+    :ivar incarnation: run of the entry host's process that announced its leaving
     """
 
     host: str
     leaving: bool
     store_revision: int
     boot_id: str = ""
+    incarnation: str = ""
 
 
 class ForwardRequest(msgspec.Struct, frozen=True, tag="forward_request"):
