Add membership, drains and rendezvous hashing

Sources about a leaving host lag behind each other, so a run is closed, not a host: the newest run is the one first seen last, and what is known is passed on once and repeated to peers whose heartbeat digest differs. Boots that the list called leaving are also kept in drains/<host>/boots, so that a process cut off from its peers learns of them from the store.

--- a/libs/membership/src/bilberryhitch_membership/__init__.py
+++ b/libs/membership/src/bilberryhitch_membership/__init__.py
@@ -1,1 +1,15 @@
 """Live and leaving hosts: heartbeats, host list and drains."""
+
+from .drains import DrainAudit, DrainRecord, DrainRow
+from .membership import Membership, Vitals
+from .rendezvous import owner, ranked
+
+__all__ = [
+    "DrainAudit",
+    "DrainRecord",
+    "DrainRow",
+    "Membership",
+    "Vitals",
+    "owner",
+    "ranked",
+]
--- /dev/null
+++ b/libs/membership/src/bilberryhitch_membership/drains.py
@@ -0,0 +1,133 @@
+"""Drain rows: written by operators, the higher store revision wins."""
+
+import re
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+from bilberryhitch_model import encode, from_plain
+from bilberryhitch_model.errors import BadInput, StoreError
+from bilberryhitch_peers import DrainNotice
+from bilberryhitch_platform import Put, Row, TableService, Write, commit
+from expression import Error, Ok, Result
+from msgspec import DecodeError, json
+
+DRAINS = "drains/"
+AUDIT = "audit/"
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+
+
+class DrainRow(NamedTuple):
+    """Value of a drain row; ``at`` is UTC seconds."""
+
+    host: str
+    leaving: bool
+    operator: str
+    at: float
+
+
+class DrainRecord(NamedTuple):
+    """A drain or its undoing.
+
+    :param at: UTC seconds
+    :param revision: store revision of the row
+    """
+
+    host: str
+    leaving: bool
+    operator: str
+    at: float
+    revision: int
+
+
+class DrainAudit(NamedTuple):
+    """Audit row of a drain or its undoing."""
+
+    at: float
+    operation_id: str
+    operator: str
+    action: Literal["drain", "undrain"]
+    host: str
+
+
+class Drains:
+    """Drains as this process knows them."""
+
+    def __init__(self) -> None:
+        self._notices: dict[str, DrainNotice] = {}
+
+    def learn(self, notice: DrainNotice) -> bool:
+        """Take a notice unless a higher revision is known.
+
+        :returns: whether it was new
+        """
+        known = self._notices.get(notice.host)
+        if known is not None and known.store_revision >= notice.store_revision:
+            return False
+        self._notices[notice.host] = notice
+        return True
+
+    def is_leaving(self, host: str) -> bool:
+        """Whether the last known drain of the host holds."""
+        notice = self._notices.get(host)
+        return notice is not None and notice.leaving
+
+    def since(self, revision: int) -> list[DrainNotice]:
+        """Return what was written after a store revision."""
+        return [
+            notice
+            for notice in self._notices.values()
+            if notice.store_revision > revision
+        ]
+
+
+async def read_rows(tables: TableService, since: int) -> tuple[list[Row], int]:
+    """Read the rows under ``drains/`` written after a store revision.
+
+    :returns: the rows, and the revision up to which they are complete
+    """
+    page = await tables.scan(DRAINS, since)
+    complete_to = page.revision
+    rows = list(page.rows)
+    while page.more:
+        page = await tables.scan(DRAINS, since, page.rows[-1].key)
+        rows += page.rows
+    return rows, complete_to
+
+
+def drain_of(row: Row) -> DrainNotice | None:
+    """Return the notice a drain row stands for, or ``None`` for other rows."""
+    host = row.key.removeprefix(DRAINS)
+    try:
+        drain = from_plain(DrainRow, json.decode(row.value))
+    except (BadInput, DecodeError):
+        return None
+    if drain.host != host:
+        return None
+    return DrainNotice(host, drain.leaving, row.revision)
+
+
+async def write_drain(
+    tables: TableService,
+    drain: DrainRow,
+    new_id: Callable[[], str],
+) -> Result[DrainRecord, StoreError]:
+    """Write a drain row and its audit row.
+
+    :raises BadInput: the host's name breaks the rule for names
+    """
+    if NAME.fullmatch(drain.host) is None:
+        raise BadInput("host", drain.host, NAME.pattern)
+    operation_id = new_id()
+    action: Literal["drain", "undrain"] = "drain" if drain.leaving else "undrain"
+    audit = DrainAudit(drain.at, operation_id, drain.operator, action, drain.host)
+    writes: list[Write] = [
+        Put(DRAINS + drain.host, encode(drain)),
+        Put(f"{AUDIT}{drain.at:017.6f}-{operation_id}", encode(audit)),
+    ]
+    try:
+        result = await commit(tables, [], writes, operation_id)
+    except StoreError as error:
+        return Error(error)
+    if result.is_error():
+        return Error(result.error)
+    return Ok(DrainRecord(*drain, result.ok))
--- /dev/null
+++ b/libs/membership/tests/test_membership.py
@@ -0,0 +1,197 @@
+import asyncio
+from itertools import count
+
+import pytest
+from bilberryhitch_membership import Membership, owner
+from bilberryhitch_membership.entry_hosts import EntryHosts
+from bilberryhitch_model import Address, Host, Identity, PeerAddress
+from bilberryhitch_model.errors import BadInput, StoreUnavailable
+from bilberryhitch_peers import DrainNotice, Heartbeat
+from bilberryhitch_platform import MemoryHostList, MemoryTables
+from bilberryhitch_testing import FaultyTables, run_virtual
+
+NAMES = ("e1", "e2", "e3")
+W1 = Host("w1", "worker", "ruwi", "127.0.0.1:1", boot_id="b1")
+ENTRIES = [Host(name, "entry", "ruwi", "", boot_id="p1") for name in NAMES]
+
+
+class Cluster:
+    """Memberships joined by immediate delivery."""
+
+    def __init__(self, names=NAMES):
+        self.inner = MemoryTables()
+        self.hosts = MemoryHostList([W1, *ENTRIES])
+        self.tables = {name: FaultyTables(self.inner) for name in names}
+        self.members = {name: self.member(name) for name in names}
+        self.messages = []
+
+    def member(self, name, incarnation="i1"):
+        numbers = count()
+        return Membership(
+            Identity(name, "ruwi", f"{name}-{incarnation}"),
+            self.tables[name],
+            self.hosts,
+            now=lambda: 1.0,
+            new_id=lambda: f"{name}-{incarnation}-{next(numbers)}",
+            broadcast=lambda message: [
+                self.deliver(other, message) for other in self.members if other != name
+            ],
+            send=self.deliver,
+        )
+
+    def deliver(self, host, message):
+        self.messages.append(message)
+        if isinstance(message, Heartbeat):
+            self.members[host].hear(message)
+        else:
+            self.members[host].hear_drain(message)
+        return True
+
+    async def __aenter__(self):
+        for member in self.members.values():
+            await member.start()
+        await asyncio.sleep(3.0)
+        return self
+
+    async def __aexit__(self, *_):
+        for member in self.members.values():
+            await member.close()
+
+
+def virtual(scenario):
+    def test():
+        run_virtual(scenario())
+
+    test.__name__ = scenario.__name__
+    return test
+
+
+@virtual
+async def test_silent_hosts_are_not_live_after_two_seconds():
+    async with Cluster() as cluster:
+        assert cluster.members["e1"].entry_hosts("ruwi") == list(NAMES)
+        await cluster.members["e3"].close()
+        await asyncio.sleep(1.4)
+        assert "e3" in cluster.members["e1"].entry_hosts("ruwi")
+        await asyncio.sleep(0.7)
+        assert cluster.members["e1"].entry_hosts("ruwi") == ["e1", "e2"]
+
+
+@virtual
+async def test_a_fresh_process_trusts_the_list_for_two_seconds():
+    cluster = Cluster(["e1"])
+    await cluster.members["e1"].start()
+    await asyncio.sleep(1.9)
+    assert cluster.members["e1"].entry_hosts("ruwi") == list(NAMES)
+    await asyncio.sleep(0.2)
+    assert cluster.members["e1"].entry_hosts("ruwi") == ["e1"]
+    await cluster.members["e1"].close()
+
+
+@virtual
+async def test_a_drain_is_recorded_audited_and_undone():
+    async with Cluster() as cluster:
+        record = (await cluster.members["e1"].drain("w1", "ann")).ok
+        row = await cluster.inner.get("drains/w1")
+        assert row.revision == record.revision
+        assert b'"operator":"ann"' in row.value
+        page = await cluster.inner.scan("audit/")
+        assert b'"action":"drain"' in page.rows[0].value
+        assert all(
+            m.endpoints("worker", "ruwi") == [] for m in cluster.members.values()
+        )
+        await cluster.members["e2"].undrain("w1", "bob")
+        assert all(
+            m.endpoints("worker", "ruwi") == [W1] for m in cluster.members.values()
+        )
+
+
+@virtual
+async def test_a_drain_while_the_store_is_down_is_refused():
+    async with Cluster() as cluster:
+        cluster.tables["e1"].down = True
+        result = await cluster.members["e1"].drain("w1", "ann")
+        assert isinstance(result.error, StoreUnavailable)
+        assert cluster.members["e1"].endpoints("worker", "ruwi") == [W1]
+        with pytest.raises(BadInput):
+            await cluster.members["e1"].drain("w1/boots", "ann")
+
+
+@virtual
+async def test_older_notices_and_duplicates_change_nothing():
+    # Guards against a late drain notice that overrules a later undrain.
+    async with Cluster() as cluster:
+        member = cluster.members["e1"]
+        member.hear_drain(DrainNotice("w1", False, 9))
+        member.hear_drain(DrainNotice("w1", True, 8))
+        assert not member.is_leaving("w1")
+        before = len(cluster.messages)
+        member.hear_drain(DrainNotice("w1", True, 8))
+        assert len(cluster.messages) == before
+
+
+@virtual
+async def test_boot_rows_are_written_and_deleted_after_the_next_boot():
+    async with Cluster() as cluster:
+        cluster.hosts.set_host(W1._replace(state="leaving"))
+        await asyncio.sleep(4.0)
+        assert (await cluster.inner.get("drains/w1/boots")).value == b'["b1"]'
+        cluster.hosts.set_host(W1)
+        await asyncio.sleep(4.0)
+        assert cluster.members["e1"].endpoints("worker", "ruwi") == []
+        cluster.hosts.set_host(W1._replace(boot_id="b2"))
+        await asyncio.sleep(4.0)
+        assert await cluster.inner.get("drains/w1/boots") is None
+        assert len(cluster.members["e1"].endpoints("worker", "ruwi")) == 1
+
+
+@virtual
+async def test_the_heartbeat_of_an_earlier_run_is_ignored():
+    async with Cluster() as cluster:
+        old = Heartbeat("e2", "ruwi", "e2-i1", False, 0)
+        cluster.members["e2"].leave()
+        assert cluster.members["e1"].entry_hosts("ruwi") == ["e1", "e3"]
+        cluster.members["e1"].hear(old)
+        assert cluster.members["e1"].is_leaving("e2")
+        cluster.members["e1"].hear(Heartbeat("e2", "ruwi", "e2-i2", False, 0))
+        assert not cluster.members["e1"].is_leaving("e2")
+        cluster.members["e1"].hear(old)
+        assert not cluster.members["e1"].is_leaving("e2")
+
+
+@virtual
+async def test_quiet_hosts_send_no_notices():
+    # Guards against digests that never agree, which would repeat notices.
+    async with Cluster() as cluster:
+        await cluster.members["e1"].drain("w1", "ann")
+        cluster.hosts.set_host(W1._replace(state="leaving"))
+        await asyncio.sleep(5.0)
+        before = [m for m in cluster.messages if isinstance(m, DrainNotice)]
+        await asyncio.sleep(20.0)
+        after = [m for m in cluster.messages if isinstance(m, DrainNotice)]
+        assert len(after) == len(before)
+
+
+def test_fan_out_covers_other_data_centres_between_the_senders():
+    here = [f"a{number}" for number in range(4)]
+    there = [f"b{number}" for number in range(7)]
+    peers = [
+        PeerAddress(name, "ab"[name[0] == "b"], Address("127.0.0.1", 1))
+        for name in here + there
+    ]
+    picked = []
+    for name in here:
+        entry = EntryHosts(Identity(name, "a", "i"), peers, 0.0)
+        for other in here:
+            entry.hear(Heartbeat(other, "a", "i", False, 0), 5.0)
+        targets = entry.fan_out(5.0)
+        assert set(here) - {name} < set(targets)
+        remote = [target for target in targets if target in there]
+        assert len(remote) == 2
+        picked += remote
+    assert set(picked) == set(there)
+
+
+def test_owner_needs_hosts():
+    with pytest.raises(ValueError):
+        owner("k", [])
