--- a/libs/membership/src/bilberryhitch_membership/membership.py
+++ b/libs/membership/src/bilberryhitch_membership/membership.py
@@ -1,7 +1,6 @@
 """Live and leaving hosts, as this process knows them."""
 
 import asyncio
-import contextlib
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
@@ -78,13 +77,14 @@
         self._list_applied = 0
         self._leaving = Leaving(identity)
         self._boot_rows = BootRows(tables, new_id)
-        self._unsaved = asyncio.Event()
         self._cursors: defaultdict[str, int] = defaultdict(int)
+        self._boot_row_keeper = Poller(DRAIN_POLL_S, self._keep_boot_rows)
         self._pollers = (
             Poller(DRAIN_POLL_S, self._poll_drains),
             Poller(HOST_LIST_POLL_S, self._poll_host_list),
+            self._boot_row_keeper,
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._heartbeats: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start heartbeats and polls; does not wait for the first answers."""
@@ -92,16 +92,13 @@
         self._entry = EntryHosts(self._identity, self._peers, self._started_s)
         for poller in self._pollers:
             await poller.start()
-        self._tasks = [
-            asyncio.create_task(self._send_heartbeats()),
-            asyncio.create_task(self._keep_boot_rows()),
-        ]
+        self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
     async def close(self) -> None:
         """Stop heartbeats and polls."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+            await asyncio.gather(self._heartbeats, return_exceptions=True)
         for poller in self._pollers:
             await poller.close()
 
@@ -274,19 +271,13 @@
                 continue
             if self._learn(DrainNotice(host.name, True, 0, boot_id=host.boot_id)):
                 self._boot_rows.must_save(host.name)
-                self._unsaved.set()
+                self._boot_row_keeper.poll_now()
 
     async def _keep_boot_rows(self) -> None:
         """Save what this process learned from the list; delete what is over."""
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(DRAIN_POLL_S):
-                    await self._unsaved.wait()
-            self._unsaved.clear()
-            await self._boot_rows.save(self._leaving.boot_marks)
-            await self._boot_rows.delete(
-                [host for host in self._listed if self._is_reopened(host)]
-            )
+        await self._boot_rows.save(self._leaving.boot_marks)
+        reopened = [host for host in self._listed if self._is_reopened(host)]
+        await self._boot_rows.delete(reopened)
 
     def _is_reopened(self, host: str) -> bool:
         """Whether this process deletes the row of a host with a newer boot."""
--- a/libs/membership/src/bilberryhitch_membership/polling.py
+++ b/libs/membership/src/bilberryhitch_membership/polling.py
@@ -35,11 +35,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def poll_now(self) -> None:
+        """Start one poll besides the regular ones."""
+        task = asyncio.create_task(self._poll_once())
+        self._polls.add(task)
+        task.add_done_callback(self._polls.discard)
+
     async def _run(self) -> None:
         while True:
-            task = asyncio.create_task(self._poll_once())
-            self._polls.add(task)
-            task.add_done_callback(self._polls.discard)
+            self.poll_now()
             await asyncio.sleep(self._interval_s)
 
     async def _poll_once(self) -> None:
--- /dev/null
+++ b/tests/machines/world_point6_leaving.py
@@ -0,0 +1,353 @@
+"""Several memberships in one process, on virtual time, with every fault."""
+
+import asyncio
+import json
+from itertools import count
+from typing import NamedTuple
+
+from bilberryhitch_membership import Membership
+from bilberryhitch_model import Host, Identity
+from bilberryhitch_model.errors import StoreError, StoreUnavailable
+from bilberryhitch_peers import Heartbeat
+from bilberryhitch_platform import Delete, MemoryTables
+from bilberryhitch_testing import FaultyTables, VirtualTimeLoop
+
+from .oracle_point6_leaving import Cause, LeavingOracle
+
+ENTRIES = {f"{dc}{n}": dc for dc in ("ruwi", "seeb") for n in (1, 2, 3)}
+ENDPOINTS = {"w1": ("worker", "ruwi"), "x1": ("executor", "seeb")}
+TARGETS = (*ENDPOINTS, *ENTRIES)
+STEP_S = 0.25
+
+
+class Process(NamedTuple):
+    run: str
+    membership: Membership
+
+
+class WatchedTables(MemoryTables):
+    """The store; tells the oracle when a drain is undone."""
+
+    def __init__(self, oracle):
+        super().__init__()
+        self._oracle = oracle
+
+    async def transact(self, expects, writes):
+        result = await super().transact(expects, writes)
+        for write in writes if result.is_ok() else ():
+            host = write.key.removeprefix("drains/")
+            if host not in TARGETS or isinstance(write, Delete):
+                continue
+            if not json.loads(write.value)["leaving"]:
+                self._oracle.undrained(host, result.ok)
+        return result
+
+
+class ProcessTables(FaultyTables):
+    """A process's view of the store; tells the oracle what it learned."""
+
+    def __init__(self, inner, learned):
+        super().__init__(inner)
+        self._learned = learned
+
+    async def scan(self, prefix, since=0, after="", limit=1000):
+        page = await super().scan(prefix, since, after, limit)
+        for row in page.rows:
+            host, _, boots = row.key.removeprefix("drains/").partition("/")
+            value = json.loads(row.value)
+            if boots:
+                for boot in value:
+                    self._learned(host, Cause("boot", boot))
+            elif value["leaving"]:
+                self._learned(host, Cause("drain", str(row.revision)))
+        return page
+
+
+class ProcessHostList:
+    """A process's view of the host list.
+
+    ``mode`` is ``true``, ``lag``, ``flap`` (lagging at every other call),
+    ``omit`` (without ``omitted``), ``live`` (leaving hosts shown live) or ``down``.
+    """
+
+    def __init__(self, world, process):
+        self._world = world
+        self._process = process
+        self.mode = "true"
+        self.lag_s = 5.0
+        self.omitted = "w1"
+        self._calls = 0
+
+    async def list_hosts(self):
+        await self._world.tables[self._process]._running.wait()
+        self._calls += 1
+        if self.mode == "down":
+            raise StoreUnavailable("list_hosts")
+        lags = self.mode == "lag" or (self.mode == "flap" and self._calls % 2)
+        hosts = self._world.snapshot(self.lag_s if lags else 0.0)
+        if self.mode == "omit":
+            hosts = [host for host in hosts if host.name != self.omitted]
+        if self.mode == "live":
+            hosts = [host._replace(state="live") for host in hosts]
+        for host in hosts:
+            if host.state == "leaving" and host.boot_id == self._world.boots[host.name]:
+                self._world.learned(
+                    self._process, host.name, Cause("boot", host.boot_id)
+                )
+        return hosts
+
+
+class World:
+    """Six entry hosts in two data centres, two endpoint hosts, one store."""
+
+    def __init__(self, membership_type=Membership):
+        self._type = membership_type
+        self.loop = VirtualTimeLoop()
+        self.oracle = LeavingOracle(ENTRIES)
+        self.inner = WatchedTables(self.oracle)
+        self.boots = {name: f"{name}-b1" for name in TARGETS}
+        self._hosts = {name: self._host(name) for name in TARGETS}
+        self._snapshots = [(0.0, tuple(self._hosts.values()))]
+        self.tables = {}
+        self.lists = {name: ProcessHostList(self, name) for name in ENTRIES}
+        self.processes = {}
+        self.cut = set()
+        self.delay_s = 0.0
+        self.duplicate = False
+        self.paused = set()
+        self._held = []
+        self._numbers = count(1)
+        self._operations = set()
+        for name in ENTRIES:
+            self.tables[name] = ProcessTables(self.inner, self._learner(name))
+            self._start(name)
+        self.advance(4.0)
+
+    @property
+    def time_s(self):
+        return self.loop.time()
+
+    # Rules.
+
+    def write_drain(self, at, host, leaving):
+        if at in self.paused:
+            return
+        membership = self.processes[at].membership
+        operation = membership.drain if leaving else membership.undrain
+        task = self.loop.create_task(self._operate(operation, at, host, leaving))
+        self._operations.add(task)
+        task.add_done_callback(self._operations.discard)
+        self.advance(0.0)
+
+    def set_listed(self, host, state):
+        self._hosts[host] = self._hosts[host]._replace(state=state)
+        self._snap()
+
+    def reboot(self, host):
+        self.boots[host] = f"{host}-b{next(self._numbers) + 1}"
+        self.oracle.booted(host, self.boots[host])
+        self._hosts[host] = self._host(host)
+        self._snap()
+        if host in ENTRIES:
+            self.restart(host)
+
+    def restart(self, process):
+        self.resume(process)
+        self._close(process)
+        self._held = [held for held in self._held if process not in held[:2]]
+        self._start(process)
+        self.advance(0.0)
+
+    def leave(self, process):
+        if process in self.paused:
+            return
+        run = self.processes[process].run
+        self.learned(process, process, Cause("run", run))
+        self.loop.call_soon(self.processes[process].membership.leave)
+        self.advance(0.0)
+
+    def set_path(self, one, other, open_):
+        pair = frozenset((one, other))
+        if len(pair) == 1 or (pair not in self.cut) == open_:
+            return
+        (self.cut.discard if open_ else self.cut.add)(pair)
+        self.oracle.path(self.time_s, one, other, open_)
+
+    def leave_one_path(self, process, partner):
+        """Cut a process from all but one other, and from the store."""
+        for other in ENTRIES:
+            self.set_path(process, other, other == partner)
+        self.set_store(process, down=True)
+
+    def set_store(self, process, *, down=False, slow_s=0.0):
+        tables = self.tables[process]
+        worked = not tables.down and tables.slow_s == 0.0
+        tables.down, tables.slow_s = down, slow_s
+        works = not down and slow_s == 0.0
+        if works != worked:
+            self.oracle.store(self.time_s, process, works)
+
+    def pause(self, process):
+        if process in self.paused:
+            return
+        self.paused.add(process)
+        self.tables[process].pause()
+        self.oracle.paused(process)
+
+    def resume(self, process):
+        if process not in self.paused:
+            return
+        self.paused.discard(process)
+        self.tables[process].resume()
+        self.oracle.resumed(self.time_s, process)
+        held, self._held = self._held, []
+        for sender, receiver, message in held:
+            self._transmit(sender, receiver, message)
+        self.advance(0.0)
+
+    def advance(self, seconds):
+        """Let time pass; check the oracle on the way."""
+        end_s = self.time_s + seconds
+        while True:
+            step_s = min(STEP_S, end_s - self.time_s)
+            self.loop.advance(max(step_s, 0.0))
+            self.check()
+            if self.time_s >= end_s - 1e-9:
+                return
+
+    def check(self):
+        for name in ENTRIES:
+            if name in self.paused:
+                continue
+            found = self.oracle.violations(self.time_s, name, self.offers(name))
+            assert not found, (self.time_s, found)
+
+    def settle(self):
+        """Repair everything; then exactly the hosts not leaving are offered."""
+        for name in ENTRIES:
+            self.resume(name)
+            self.set_store(name)
+            self.tables[name].lose_answers = 0
+            self.lists[name].mode = "true"
+            for other in ENTRIES:
+                self.set_path(name, other, True)
+        self.delay_s, self.duplicate = 0.0, False
+        self.advance(5.0)
+        self.loop.advance(60.0)  # longest allowance for a lagging host list
+        self.check()
+        leaving = self.oracle.leaving() | {
+            host.name for host in self._hosts.values() if host.state == "leaving"
+        }
+        for name, data_centre in ENTRIES.items():
+            near = {host for host in ENTRIES if ENTRIES[host] == data_centre}
+            missing = (near | set(ENDPOINTS)) - leaving - self.offers(name)
+            assert not missing, ("not offered", name, missing)
+
+    def close(self):
+        for task in list(self._operations):
+            task.cancel()
+        for name in ENTRIES:
+            self._close(name)
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+    # What the processes and the oracle see.
+
+    def offers(self, process):
+        """Return every host that a process would give new work."""
+        return self.loop.run_until_complete(self._offers(process))
+
+    async def _offers(self, process):
+        membership = self.processes[process].membership
+        offered = {
+            host.name
+            for kind, data_centre in ENDPOINTS.values()
+            for host in membership.endpoints(kind, data_centre)
+        }
+        for data_centre in ("ruwi", "seeb"):
+            offered.update(membership.entry_hosts(data_centre))
+        return offered
+
+    def snapshot(self, lag_s):
+        until_s = self.time_s - lag_s
+        shown = [hosts for at_s, hosts in self._snapshots if at_s <= until_s]
+        return list(shown[-1] if shown else self._snapshots[0][1])
+
+    def learned(self, process, host, cause):
+        # The oracle stops counting a cause once its drain, boot or run is over.
+        ended = (cause.kind == "boot" and self.boots[host] != cause.id) or (
+            cause.kind == "drain" and self._undrained_after(host, int(cause.id))
+        )
+        if not ended:
+            self.oracle.learned(self.time_s, process, host, cause)
+
+    def _undrained_after(self, host, revision):
+        row = self.inner._rows.get(f"drains/{host}")
+        return row.revision > revision and not json.loads(row.value)["leaving"]
+
+    def _learner(self, process):
+        return lambda host, cause: self.learned(process, host, cause)
+
+    async def _operate(self, operation, at, host, leaving):
+        run = self.processes[at].run
+        result = await operation(host, "ann")
+        if result.is_ok() and leaving and self.processes[at].run == run:
+            self.learned(at, host, Cause("drain", str(result.ok.revision)))
+        assert result.is_ok() or isinstance(result.error, StoreError)
+
+    # Processes and their link.
+
+    def _start(self, name):
+        run = f"{name}-i{next(self._numbers)}"
+        ids = count()
+        membership = self._type(
+            Identity(name, ENTRIES[name], run),
+            self.tables[name],
+            self.lists[name],
+            now=lambda: 1.0,
+            new_id=lambda: f"{run}-{next(ids)}",
+            broadcast=lambda message: self._broadcast(name, message),
+            send=lambda host, message: self._transmit(name, host, message),
+        )
+        self.processes[name] = Process(run, membership)
+        self.oracle.started(self.time_s, name, run)
+        self.loop.run_until_complete(membership.start())
+
+    def _close(self, name):
+        self.loop.run_until_complete(self.processes[name].membership.close())
+
+    def _broadcast(self, sender, message):
+        for host in ENTRIES:
+            if host != sender:
+                self._transmit(sender, host, message)
+
+    def _transmit(self, sender, receiver, message):
+        if sender in self.paused:
+            if not isinstance(message, Heartbeat):
+                self._held.append((sender, receiver, message))
+            return True
+        if frozenset((sender, receiver)) in self.cut:
+            return True
+        delays = (0.0, self.delay_s) if self.duplicate else (self.delay_s,)
+        for delay_s in delays:
+            self.loop.call_later(delay_s, self._deliver, sender, receiver, message)
+        return True
+
+    def _deliver(self, sender, receiver, message):
+        if frozenset((sender, receiver)) in self.cut:
+            return
+        if receiver in self.paused:
+            self._held.append((sender, receiver, message))
+            return
+        membership = self.processes[receiver].membership
+        if isinstance(message, Heartbeat):
+            membership.hear(message)
+        else:
+            membership.hear_drain(message)
+
+    def _host(self, name):
+        kind, data_centre = ENDPOINTS.get(name) or ("entry", ENTRIES[name])
+        return Host(name, kind, data_centre, "", boot_id=self.boots[name])
+
+    def _snap(self):
+        self._snapshots.append((self.time_s, tuple(self._hosts.values())))
