--- /dev/null
+++ b/libs/gangs/src/bilberryhitch_gangs/probe.py
@@ -0,0 +1,40 @@
+"""Tries a quarantined worker with a task that belongs to no job."""
+
+import asyncio
+
+from bilberryhitch_model import Host
+
+from .context import WORKER_ERRORS, PlannerContext
+from .worker_client import Reservation
+
+PROBE_PREFIX = "probe/"
+PROBE_RUN = '{"seconds": 0, "fail": false}'
+PROBE_TERM_S = 5.0
+PROBE_WAIT_S = 2.0
+
+
+async def probe_worker(context: PlannerContext, host: Host) -> None:
+    """Run the probe; success ends the quarantine."""
+    attempt = f"{PROBE_PREFIX}{host.name}/{context.lease.epoch}"
+    try:
+        passed = await _run_probe(context, host, attempt)
+        await context.workers.release(host, context.lease.epoch, attempt)
+    except WORKER_ERRORS:
+        return
+    if passed:
+        context.health.release(host.name)
+        context.scheduler.release(host.name)
+        context.wake.set()
+
+
+async def _run_probe(context: PlannerContext, host: Host, attempt: str) -> bool:
+    """Return whether the probe's task finished; holds no accelerators."""
+    token = context.lease.epoch
+    await context.workers.release(host, token, attempt)
+    wanted = Reservation(attempt, (), 0, 0, PROBE_TERM_S)
+    await context.workers.reserve(host, token, wanted)
+    await context.workers.start_task(host, token, attempt, PROBE_RUN, "")
+    await asyncio.sleep(PROBE_WAIT_S)
+    view = await context.workers.state(host)
+    states = {lease.attempt_id: lease.state for lease in view.leases}
+    return states.get(attempt) == "finished"
--- /dev/null
+++ b/libs/gangs/src/bilberryhitch_gangs/renewal.py
@@ -0,0 +1,142 @@
+"""Renews the leases on one worker and takes in what became of its tasks."""
+
+import asyncio
+
+from bilberryhitch_model import Host
+from bilberryhitch_model.errors import StaleToken, WorkerRefused, WorkerUnreachable
+
+from .context import WORKER_ERRORS, PlannerContext
+from .gang import TERM_S, Ending, Gang
+from .gang_start import note_stale
+from .job_rows import job_of_attempt
+from .probe import PROBE_PREFIX, probe_worker
+from .worker_client import WorkerView
+
+RENEW_S = 3.0
+RETRY_S = 1.0
+PROBE_S = 15.0
+# One lost answer is common; a second one in a row means a lost worker.
+MISSES_LOST = 2
+ACTIVE = ("reserved", "running")
+
+
+class WorkerLink:
+    """Keeps one worker's leases alive with one message every 3 s.
+
+    :ivar usable: whether the worker answers and runs no other pool's tasks
+    """
+
+    def __init__(self, context: PlannerContext, host: Host) -> None:
+        self._context = context
+        self._host = host
+        self._misses = 0
+        self._next_probe = 0.0
+        self.usable = True
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while not await self._is_ours():
+            self._set_usable(False)
+            await asyncio.sleep(RENEW_S)
+        while True:
+            sent_at = asyncio.get_running_loop().time()
+            await self._renew(sent_at)
+            self._probe_if_due(sent_at)
+            # A missed answer is asked for again at once, because the leases
+            # run out while it is missing.
+            await asyncio.sleep(RETRY_S if self._misses else RENEW_S)
+
+    async def _is_ours(self) -> bool:
+        """Whether the worker runs no task of another pool.
+
+        A worker that changed pools keeps its running tasks. Presenting this
+        planner's token would cut them off from the other pool's planner.
+        """
+        if self._context.gangs_on(self._host.name):
+            return True
+        try:
+            view = await self._context.workers.state(self._host)
+        except WORKER_ERRORS:
+            return False
+        if view.highest > self._context.lease.epoch:
+            self._context.stale.set()
+        active = [lease.attempt_id for lease in view.leases if lease.state in ACTIVE]
+        return not any(self._is_foreign(attempt) for attempt in active)
+
+    async def _renew(self, sent_at: float) -> None:
+        token = self._context.lease.epoch
+        due = self._due(sent_at)
+        term_s = min((term for _, term in due), default=TERM_S)
+        for gang, _ in due:
+            gang.members[self._host.name].lease_sent(sent_at, term_s)
+        attempts = [gang.attempt_id for gang, _ in due]
+        try:
+            view = await self._context.workers.renew(
+                self._host, token, attempts, term_s
+            )
+        except StaleToken as error:
+            note_stale(self._context, error)
+            self._miss()
+            return
+        except (WorkerRefused, WorkerUnreachable):
+            self._miss()
+            return
+        self._misses = 0
+        self._set_usable(True)
+        self._take_in(view, sent_at)
+
+    def _due(self, now: float) -> list[tuple[Gang, float]]:
+        gangs = self._context.gangs_on(self._host.name)
+        terms = [(gang, gang.term_s(now)) for gang in gangs]
+        return [(gang, term) for gang, term in terms if term > 0]
+
+    def _miss(self) -> None:
+        self._misses += 1
+        if self._misses < MISSES_LOST:
+            return
+        self._set_usable(False)
+        for gang in self._context.gangs_on(self._host.name):
+            if gang.running and not gang.members[self._host.name].done:
+                gang.finish(Ending("lost", self._host.name))
+
+    def _take_in(self, view: WorkerView, sent_at: float) -> None:
+        leases = {lease.attempt_id: lease for lease in view.leases}
+        for gang in self._context.gangs_on(self._host.name):
+            lease = leases.get(gang.attempt_id)
+            gang.observe_lease(self._host.name, view.boot_id, lease, sent_at)
+        for attempt in leases:
+            if self._is_stray(attempt):
+                self._context.spawn(self._release(attempt))
+
+    def _is_stray(self, attempt: str) -> bool:
+        """Whether a lease of this pool belongs to no gang any more."""
+        if attempt.startswith(PROBE_PREFIX) or self._is_foreign(attempt):
+            return False
+        return not self._context.owns_lease(self._host.name, attempt)
+
+    def _is_foreign(self, attempt: str) -> bool:
+        if attempt.startswith(PROBE_PREFIX):
+            return False
+        return not job_of_attempt(attempt).startswith(self._context.job_prefix)
+
+    async def _release(self, attempt: str) -> None:
+        try:
+            await self._context.workers.release(
+                self._host, self._context.lease.epoch, attempt
+            )
+        except WORKER_ERRORS:
+            return
+
+    def _probe_if_due(self, now: float) -> None:
+        if self._host.name not in self._context.health.quarantined:
+            self._next_probe = now + PROBE_S
+            return
+        if now < self._next_probe or not self.usable:
+            return
+        self._next_probe = now + PROBE_S
+        self._context.spawn(probe_worker(self._context, self._host))
+
+    def _set_usable(self, usable: bool) -> None:
+        if usable != self.usable:
+            self.usable = usable
+            self._context.wake.set()
--- a/libs/model/src/bilberryhitch_model/work.py
+++ b/libs/model/src/bilberryhitch_model/work.py
@@ -67,6 +67,7 @@
     :param status: outcome once ``state`` is ``finished``
     :param saved: object store key of the last checkpoint
     :param cancel: whether a caller asked to cancel
+    :param failed_on: healthy workers on which a task of the job failed
     """
 
     job_id: str
@@ -95,6 +96,7 @@
     saved: str = ""
     started_at: float = 0.0
     finished_at: float = 0.0
+    failed_on: tuple[str, ...] = ()
 
 
 class QueuedJob(NamedTuple):
