--- a/libs/standins/src/bilberryhitch_standins/__init__.py
+++ b/libs/standins/src/bilberryhitch_standins/__init__.py
@@ -1,5 +1,7 @@
 """Stand-ins of the platform, executors and workers, with fault switches."""
 
+from .executor_server import ExecutorStandin
 from .platform_server import PlatformStandin
+from .worker_server import WorkerStandin
 
-__all__ = ["PlatformStandin"]
+__all__ = ["ExecutorStandin", "PlatformStandin", "WorkerStandin"]
