--- /dev/null
+++ b/libs/requests/src/bilberryhitch_requests/dispatch.py
@@ -0,0 +1,109 @@
+"""Runs one attempt of a request in a granted executor slot."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+
+from bilberryhitch_model import Outcome, RequestCall, Route
+from bilberryhitch_model.errors import ExecutorLost, ExecutorNotAccepted
+
+from .executor_client import ExecutorAnswer, ExecutorClient, check_answer
+from .forwarding import Failed
+from .outcomes import RequestRecord
+from .slots import ExecutorSlots, Lease
+from .waiting import Place, WaitingRequests
+
+HTTP_OK = 200
+
+
+def place_of(call: RequestCall, route: Route) -> Place:
+    """Return whose turn the call takes in the fair queue."""
+    return Place(call.client_account, route.kind, call.caller, route.urgency)
+
+
+class Dispatcher:
+    """Attempts at executors of this host.
+
+    :ivar usage: slot seconds served since the start, by ``<pool>/<client account>``
+    """
+
+    def __init__(
+        self,
+        executors: ExecutorClient,
+        slots: ExecutorSlots,
+        *,
+        new_id: Callable[[], str],
+    ) -> None:
+        self._executors = executors
+        self._slots = slots
+        self._new_id = new_id
+        self.usage: defaultdict[str, float] = defaultdict(float)
+
+    async def attempt(
+        self,
+        lease: Lease,
+        call: RequestCall,
+        route: Route,
+        record: RequestRecord,
+        waiting: WaitingRequests,
+    ) -> Outcome | Failed:
+        """Run an attempt that :meth:`RequestRecord.grant` allows; frees the slot."""
+        attempt_id = self._new_id()
+        if not record.grant(record.run or attempt_id):
+            waiting.unused(place_of(call, route))
+            lease.release()
+            return Failed.NOT_RUN
+        run = record.run
+        name = lease.host.name
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            answer = await self._call(lease, attempt_id, call, route)
+        except ExecutorNotAccepted:
+            self._slots.failed(name)
+            return Failed.NOT_RUN
+        except ExecutorLost:
+            self._slots.failed(name)
+            record.lose(run)
+            return Failed.LOST
+        finally:
+            self._charge(call, route, waiting, loop.time() - started_s)
+            lease.release()
+        self._slots.succeeded(name)
+        return _outcome(answer)
+
+    async def _call(
+        self, lease: Lease, attempt_id: str, call: RequestCall, route: Route
+    ) -> ExecutorAnswer:
+        host = lease.host
+        try:
+            async with asyncio.timeout(route.timeout_s):
+                answer = await self._executors.call(
+                    host,
+                    attempt_id,
+                    route.name,
+                    call.body,
+                    call.content_type,
+                    route.timeout_s,
+                    route.max_body_bytes,
+                )
+        except TimeoutError as error:
+            raise ExecutorLost(host.name, "timed out") from error
+        return check_answer(answer, host.name, attempt_id, route.max_body_bytes)
+
+    def _charge(
+        self,
+        call: RequestCall,
+        route: Route,
+        waiting: WaitingRequests,
+        cost_s: float,
+    ) -> None:
+        waiting.finished(place_of(call, route), cost_s)
+        self.usage[f"{route.pool}/{call.client_account}"] += cost_s
+
+
+def _outcome(answer: ExecutorAnswer) -> Outcome:
+    if answer.status == HTTP_OK:
+        return Outcome("completed", answer.body, answer.content_type)
+    detail = f"executor answered {answer.status}"
+    return Outcome("failed", answer.body, answer.content_type, detail)
