--- /dev/null
+++ b/libs/telemetry/src/bilberryhitch_telemetry/metrics.py
@@ -0,0 +1,110 @@
+"""OpenTelemetry instruments and their export.
+
+Instruments may be used before :func:`start_metrics`; they record nothing until
+then.
+"""
+
+from opentelemetry import metrics as otel
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import MetricReader
+from prometheus_client import REGISTRY, generate_latest
+
+OTLP_PERIOD_MS = 15_000
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+_meter = otel.get_meter("bilberryhitch")
+
+REQUESTS = _meter.create_counter(
+    "bilberryhitch_requests",
+    description="Requests answered, by route and outcome.",
+)
+REQUEST_SECONDS = _meter.create_histogram(
+    "bilberryhitch_request_duration",
+    unit="s",
+    description="Time from a request's arrival to its answer, by route and outcome.",
+)
+REQUEST_RETRIES = _meter.create_counter(
+    "bilberryhitch_request_retries",
+    description="Requests sent to an executor again, by route.",
+)
+JOBS_ACCEPTED = _meter.create_counter(
+    "bilberryhitch_jobs_accepted",
+    description="Jobs whose row was created, by pool.",
+)
+JOBS = _meter.create_counter(
+    "bilberryhitch_jobs",
+    description="Jobs finished, by pool and outcome.",
+)
+QUEUE_LENGTH = _meter.create_gauge(
+    "bilberryhitch_queue_length",
+    description="Entries in a queue, by pool and queue.",
+)
+DECISIONS = _meter.create_counter(
+    "bilberryhitch_decisions",
+    description="Decisions of the planner, by pool and decision.",
+)
+STORE_CALLS = _meter.create_counter(
+    "bilberryhitch_store_calls",
+    description="Calls to the platform's stores, by call.",
+)
+STORE_ERRORS = _meter.create_counter(
+    "bilberryhitch_store_errors",
+    description="Failed calls to the platform's stores, by call and error.",
+)
+STORE_SECONDS = _meter.create_histogram(
+    "bilberryhitch_store_call_duration",
+    unit="s",
+    description="Duration of calls to the platform's stores, by call.",
+)
+LEASE_RENEWALS = _meter.create_counter(
+    "bilberryhitch_lease_renewals",
+    description="Renewals of planner and worker leases, by lease and outcome.",
+)
+CONFIG_REVISION = _meter.create_gauge(
+    "bilberryhitch_config_revision",
+    description="Configuration revision in force in this process.",
+)
+PEER_MESSAGES = _meter.create_counter(
+    "bilberryhitch_peer_messages",
+    description="Peer messages, by direction and outcome.",
+)
+GUARANTEE_MISSING = _meter.create_gauge(
+    "bilberryhitch_guarantee_missing_cells",
+    description="Guaranteed cells that the hosts cannot hold, by pool and account.",
+)
+
+
+def start_metrics(otlp_endpoint: str = "") -> MeterProvider:
+    """Export the instruments of this process.
+
+    :param otlp_endpoint: URL that receives OTLP over HTTP; empty for none
+    :returns: the provider, to be shut down when the process ends
+    """
+    readers: list[MetricReader] = [PrometheusMetricReader()]
+    if otlp_endpoint:
+        readers.append(_otlp_reader(otlp_endpoint))
+    provider = MeterProvider(metric_readers=readers)
+    otel.set_meter_provider(provider)
+    return provider
+
+
+def scrape() -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    return generate_latest(REGISTRY)
+
+
+def _otlp_reader(endpoint: str) -> MetricReader:
+    # Imported only when an endpoint is configured: the exporter and its
+    # protocol library take memory from the daemon's control budget.
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (  # noqa: PLC0415
+        OTLPMetricExporter,
+    )
+    from opentelemetry.sdk.metrics.export import (  # noqa: PLC0415
+        PeriodicExportingMetricReader,
+    )
+
+    return PeriodicExportingMetricReader(
+        OTLPMetricExporter(endpoint=endpoint),
+        export_interval_millis=OTLP_PERIOD_MS,
+    )
