--- a/libs/api/src/bilberryhitch_api/callers.py
+++ b/libs/api/src/bilberryhitch_api/callers.py
@@ -1,6 +1,6 @@
 """HTTP handlers for callers: requests and jobs."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple, Protocol
 
@@ -10,23 +10,24 @@
     JobCall,
     JobRecord,
     Outcome,
+    OutcomeStatus,
     RequestCall,
     Shape,
     encode,
     from_plain,
+    parse_json,
 )
 from bilberryhitch_model.errors import BadInput, BilberryhitchError, NotFound
 from expression import Result
 
-from .bodies import read_body, read_json
-from .errors import error_response
+from .bodies import read_body
+from .errors import OUTCOME_HEADER
 
-OUTCOME_HEADER = "Bilberryhitch-Outcome"
 HANDLE_HEADER = "Bilberryhitch-Handle"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 128
 MAX_WAIT_S = 60.0
-OUTCOME_STATUS = {
+OUTCOME_STATUS: dict[OutcomeStatus, HTTPStatus] = {
     "completed": HTTPStatus.OK,
     "failed": HTTPStatus.BAD_GATEWAY,
     "not_run": HTTPStatus.SERVICE_UNAVAILABLE,
@@ -81,7 +82,6 @@
     run: str = ""
 
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Authenticate = Callable[[web.Request], Result[Caller, BilberryhitchError]]
 
 
@@ -127,8 +127,8 @@
         return _outcome_response(result.ok)
 
     return [
-        web.post("/v1/requests/{route}", _answering(submit)),
-        web.get("/v1/requests/{handle}", _answering(status)),
+        web.post("/v1/requests/{route}", submit),
+        web.get("/v1/requests/{handle}", status),
     ]
 
 
@@ -137,7 +137,7 @@
 ) -> list[web.RouteDef]:
     async def accept(request: web.Request) -> web.StreamResponse:
         caller = _caller(authenticate, request)
-        plain = await read_json(request, max_body_bytes)
+        plain = parse_json(await read_body(request, max_body_bytes))
         body = from_plain(_JobBody, plain)
         call = JobCall(
             caller.client_account,
@@ -177,26 +177,14 @@
         return web.Response(body=encode(result.ok), content_type="application/json")
 
     return [
-        web.post("/v1/jobs", _answering(accept)),
-        web.get("/v1/jobs/{id}", _answering(get)),
-        web.get("/v1/jobs/{id}/wait", _answering(wait)),
-        web.delete("/v1/jobs/{id}", _answering(cancel)),
-        web.get("/v1/jobs/{id}/explain", _answering(explain)),
+        web.post("/v1/jobs", accept),
+        web.get("/v1/jobs/{id}", get),
+        web.get("/v1/jobs/{id}/wait", wait),
+        web.delete("/v1/jobs/{id}", cancel),
+        web.get("/v1/jobs/{id}/explain", explain),
     ]
 
 
-def _answering(handler: Handler) -> Handler:
-    """Turn typed errors of ``handler`` into their documented answers."""
-
-    async def answer(request: web.Request) -> web.StreamResponse:
-        try:
-            return await handler(request)
-        except BilberryhitchError as error:
-            return error_response(error)
-
-    return answer
-
-
 def _caller(authenticate: Authenticate, request: web.Request) -> Caller:
     result = authenticate(request)
     if result.is_error():
@@ -255,7 +243,7 @@
 
 
 def _outcome_response(outcome: Outcome) -> web.Response:
-    headers = {OUTCOME_HEADER: outcome.status}
+    headers: dict[str, str] = {OUTCOME_HEADER: outcome.status}
     if outcome.handle:
         headers[HANDLE_HEADER] = outcome.handle
     if outcome.status == "not_run":
--- a/libs/api/src/bilberryhitch_api/server.py
+++ b/libs/api/src/bilberryhitch_api/server.py
@@ -1,10 +1,13 @@
 """The HTTP server of an entry host."""
 
+import asyncio
 from collections.abc import Callable, Iterable
 
 from aiohttp import web
 from bilberryhitch_model import Address
 
+from .errors import Handler, error_middleware
+
 
 class ApiServer:
     """Serves the API on one address.
@@ -22,13 +25,18 @@
         max_body_bytes: int,
         shutdown_wait_s: float = 1.0,
     ) -> None:
-        application = web.Application(client_max_size=max_body_bytes)
+        application = web.Application(
+            client_max_size=max_body_bytes, middlewares=[error_middleware, self._count]
+        )
         application.add_routes(list(routes))
         self._bind = bind
         self._runner = web.AppRunner(
             application, access_log=None, shutdown_timeout=shutdown_wait_s
         )
         self._site: web.TCPSite | None = None
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._in_flight = 0
 
     @property
     def address(self) -> Address:
@@ -44,6 +52,10 @@
         self._site = web.TCPSite(self._runner, self._bind.ip, self._bind.port)
         await self._site.start()
 
+    async def finish_in_flight(self) -> None:
+        """Wait until every handler that was called has answered."""
+        await self._idle.wait()
+
     async def stop_listening(self) -> None:
         """Accept no new connections; open ones are served on."""
         if self._site is not None:
@@ -54,6 +66,19 @@
         """Close every connection; call it once all handlers have answered."""
         await self._runner.cleanup()
 
+    @web.middleware
+    async def _count(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await handler(request)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
 
 def health_routes(
     ready: Callable[[], bool], metrics_text: Callable[[], bytes]
--- /dev/null
+++ b/libs/app/src/bilberryhitch/message_routing.py
@@ -0,0 +1,74 @@
+"""Hands each message from a peer to the service it is for."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from bilberryhitch_config import ConfigService
+from bilberryhitch_gangs import JobService
+from bilberryhitch_membership import Membership
+from bilberryhitch_peers import (
+    CancelJob,
+    ConfigAsk,
+    ConfigOffer,
+    DrainNotice,
+    ExplainAsk,
+    ForwardRequest,
+    Heartbeat,
+    JobNotice,
+    Message,
+    RequestStatusAsk,
+)
+from bilberryhitch_requests import RequestService
+
+Handler = Callable[[str, Message], Awaitable[Message | None]]
+
+
+class Services(Protocol):
+    """The services of an entry host that take messages."""
+
+    @property
+    def membership(self) -> Membership:
+        """Live and leaving hosts."""
+
+    @property
+    def config(self) -> ConfigService:
+        """Routes and pools."""
+
+    @property
+    def jobs(self) -> JobService:
+        """The job service."""
+
+    @property
+    def requests(self) -> RequestService:
+        """The request service."""
+
+
+def route_messages(services: Services) -> Handler:
+    """Return the handler for the peer link."""
+
+    async def handle(sender: str, message: Message) -> Message | None:
+        if isinstance(message, Heartbeat):
+            _hear_heartbeat(services, message)
+            return None
+        if isinstance(message, DrainNotice):
+            services.membership.hear_drain(message)
+            return None
+        if isinstance(message, ConfigOffer):
+            await services.config.receive(message)
+            return None
+        if isinstance(message, ConfigAsk):
+            return services.config.answer(message)
+        if isinstance(message, JobNotice | CancelJob | ExplainAsk):
+            return await services.jobs.handle(sender, message)
+        if isinstance(message, ForwardRequest | RequestStatusAsk):
+            return await services.requests.handle(sender, message)
+        return None
+
+    return handle
+
+
+def _hear_heartbeat(services: Services, heartbeat: Heartbeat) -> None:
+    services.membership.hear(heartbeat)
+    services.config.hear_revision(heartbeat.host, heartbeat.config_revision)
+    services.requests.hear_free_slots(heartbeat.host, heartbeat.free_slots)
+    services.requests.hear_usage(heartbeat.host, heartbeat.usage)
