--- /dev/null
+++ b/libs/api/src/bilberryhitch_api/bodies.py
@@ -0,0 +1,73 @@
+"""Reading request bodies within limits."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from aiohttp import web
+from bilberryhitch_model import parse_json, quote
+from bilberryhitch_model.errors import BadInput
+
+from .errors import BodyTooLarge
+
+
+async def read_body(request: web.Request, max_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    :param max_bytes: limit of the body, in bytes
+    :raises BodyTooLarge: the body is longer, declared or sent
+    """
+    declared = request.content_length
+    if declared is not None and declared > max_bytes:
+        raise _too_large(declared, max_bytes)
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > max_bytes:
+            raise _too_large(len(body), max_bytes)
+    return bytes(body)
+
+
+async def read_object(
+    request: web.Request, max_bytes: int, fields: Mapping[str, type | tuple[type, ...]]
+) -> dict[str, Any]:
+    """Return the JSON object of a body.
+
+    :param fields: the fields allowed, with the types of their values
+    :raises BadInput: broken JSON, a duplicate key, an unknown field, a wrong type
+    """
+    plain = parse_json(await read_body(request, max_bytes))
+    if not isinstance(plain, dict):
+        raise BadInput("$", quote(plain), "is an object")
+    for name, value in plain.items():
+        if name not in fields:
+            raise BadInput(quote(name), quote(value), "is a known field")
+        if isinstance(value, bool) and fields[name] is not bool:
+            raise BadInput(name, value, f"is of type {_names(fields[name])}")
+        if not isinstance(value, fields[name]):
+            raise BadInput(name, quote(value), f"is of type {_names(fields[name])}")
+    return plain
+
+
+def query_number(request: web.Request, name: str, default: int, high: int) -> int:
+    """Return a whole number of the query, from 1 to ``high``.
+
+    :raises BadInput: it is not such a number
+    """
+    text = request.query.get(name)
+    if text is None:
+        return default
+    # The length check keeps `int` away from texts of any size.
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(high))):
+        raise BadInput(name, quote(text), f"is a number between 1 and {high}")
+    if not 1 <= int(text) <= high:
+        raise BadInput(name, quote(text), f"is a number between 1 and {high}")
+    return int(text)
+
+
+def _names(kinds: type | tuple[type, ...]) -> str:
+    options = kinds if isinstance(kinds, tuple) else (kinds,)
+    return " or ".join(kind.__name__ for kind in options)
+
+
+def _too_large(size: int, limit: int) -> BodyTooLarge:
+    return BodyTooLarge("body", size, f"has at most {limit} bytes")
