--- a/libs/model/src/bilberryhitch_model/__init__.py
+++ b/libs/model/src/bilberryhitch_model/__init__.py
@@ -3,6 +3,14 @@
 from . import errors
 from .codec import decode, encode, from_plain, to_plain
 from .hosts import Address, Host, HostKind, HostState, Identity, PeerAddress
+from .parsing import (
+    parse_json,
+    parse_jsonc,
+    parse_rows,
+    parse_tables,
+    quote,
+    value_at,
+)
 from .tables import (
     Commit,
     ConfigChange,
@@ -16,6 +24,7 @@
     Urgency,
     WorkKind,
 )
+from .validation import validate_tables
 from .work import (
     Decision,
     Evict,
@@ -69,5 +78,12 @@
     "encode",
     "errors",
     "from_plain",
+    "parse_json",
+    "parse_jsonc",
+    "parse_rows",
+    "parse_tables",
+    "quote",
     "to_plain",
+    "validate_tables",
+    "value_at",
 ]
