--- a/libs/api/src/bilberryhitch_api/callers.py
+++ b/libs/api/src/bilberryhitch_api/callers.py
@@ -18,6 +18,7 @@
     parse_json,
 )
 from bilberryhitch_model.errors import BadInput, BilberryhitchError, NotFound
+from bilberryhitch_settings import Caller
 from expression import Result
 
 from .bodies import read_body
@@ -36,13 +37,6 @@
 }
 
 
-class Caller(NamedTuple):
-    """Who a bearer token stands for."""
-
-    client_account: str
-    name: str
-
-
 class Requests(Protocol):
     """What the handlers need of the request service."""
 
@@ -110,7 +104,7 @@
         caller = _caller(authenticate, request)
         call = RequestCall(
             caller.client_account,
-            caller.name,
+            caller.caller,
             request.match_info["route"],
             await read_body(request, max_body_bytes),
             _key(request),
@@ -141,7 +135,7 @@
         body = from_plain(_JobBody, plain)
         call = JobCall(
             caller.client_account,
-            caller.name,
+            caller.caller,
             body.route,
             body.shape,
             body.run,
--- a/libs/app/src/bilberryhitch/caller_tokens.py
+++ b/libs/app/src/bilberryhitch/caller_tokens.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Mapping
 
 from aiohttp import web
-from bilberryhitch_api.callers import Caller
 from bilberryhitch_model.errors import BilberryhitchError, Unauthenticated
+from bilberryhitch_settings import Caller
 from expression import Error, Ok, Result
 
 BEARER = "Bearer "
--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -4,16 +4,17 @@
 import random
 import time
 import uuid
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from bilberryhitch_api.admin import admin_routes
 from bilberryhitch_api.callers import caller_routes
 from bilberryhitch_api.server import ApiServer, health_routes
-from bilberryhitch_config import ConfigService
+from bilberryhitch_config import AuditTrail, ConfigService
 from bilberryhitch_gangs import HttpWorkerClient, JobService, PlannerSet
 from bilberryhitch_membership import Membership, Vitals
 from bilberryhitch_model import Address, Identity
-from bilberryhitch_peers import Message, PeerLink
+from bilberryhitch_peers import PeerLink
 from bilberryhitch_platform import (
     HostList,
     OperationsSweeper,
@@ -45,12 +46,15 @@
     def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
         self._settings = settings
         self._identity = Identity(settings.host, settings.data_centre, _new_id())
-        self._client = None if platform else _platform_client(settings)
-        self._platform = platform or Platform(self._client, self._client)
+        self._client: PlatformClient | None = None
+        if platform is None:
+            self._client = _platform_client(settings)
+            platform = Platform(self._client, self._client)
+        self._platform = platform
         self._closing = False
         self._link = PeerLink(
             self._identity,
-            settings.peer_address,
+            settings.peer,
             settings.peers,
             route_messages(self),
             report=_report_dropped,
@@ -87,3 +91,158 @@
     def ready(self) -> bool:
         """Whether the balancer should send work here."""
         return self._config.ready and not self._closing
+
+    async def start(self) -> None:
+        """Start every service, the API last."""
+        log(events.PROCESS_STARTED, data_centre=self._identity.data_centre)
+        if self._client is not None:
+            await self._client.start()
+        await self._workers.start()
+        await self._executors.start()
+        await self._link.start()
+        await self._membership.start()
+        await self._config.start()
+        await self._requests.start()
+        await self._jobs.start()
+        await self._planners.start()
+        await self._sweeper.start()
+        await self._api.start()
+        log(events.PROCESS_READY, address=str(self.api_address))
+
+    async def close(self) -> None:
+        """Finish what is in flight and stop; new work is refused as not run.
+
+        The API listens until the end, because the balancer still sends calls here
+        for a while and a refusal tells their callers that nothing ran.
+        """
+        self._closing = True
+        self._membership.leave()
+        log(events.PROCESS_STOPPING)
+        limit_s = self._settings.limits.shutdown_wait_s
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._finish_work()
+        except TimeoutError:
+            log(events.SHUTDOWN_LIMIT_REACHED, limit_s=limit_s)
+        await self._close_resources()
+        log(events.PROCESS_STOPPED)
+
+    async def _finish_work(self) -> None:
+        await self._jobs.close()
+        await asyncio.gather(self._requests.close(), self._planners.close())
+        await self._api.finish_in_flight()
+
+    async def _close_resources(self) -> None:
+        await self._api.stop_listening()
+        await self._api.close()
+        await self._sweeper.close()
+        await self._config.close()
+        await self._membership.close()
+        await self._link.close()
+        await self._workers.close()
+        await self._executors.close()
+        if self._client is not None:
+            await self._client.close()
+
+    def _build_services(self) -> None:
+        tables = self._platform.tables
+        self._workers = HttpWorkerClient()
+        self._executors = HttpExecutorClient()
+        self._membership = Membership(
+            self._identity,
+            tables,
+            self._platform.host_list,
+            now=time.time,
+            new_id=_new_id,
+            broadcast=self._link.broadcast,
+            send=self._link.send,
+            peers=self._settings.peers,
+            vitals=self._vitals,
+        )
+        self._config = ConfigService(
+            tables,
+            now=time.time,
+            new_id=_new_id,
+            broadcast=self._membership.fan_out,
+            host_capacity=self._membership.hosts,
+        )
+        self._build_work_services(tables)
+        self._sweeper = OperationsSweeper(tables, new_id=_new_id)
+
+    def _build_work_services(self, tables: TableService) -> None:
+        self._planners = PlannerSet(
+            self._identity,
+            tables,
+            self._workers,
+            tables_view=lambda: self._config.tables_view,
+            members=self._membership,
+            make_scheduler=PoolScheduler,
+            now=time.time,
+            new_id=_new_id,
+            on_change=lambda record: self._jobs.changed(record),
+        )
+        self._jobs = JobService(
+            self._identity,
+            tables,
+            tables_view=lambda: self._config.tables_view,
+            hosts=self._membership.hosts,
+            entry_hosts=self._membership.entry_hosts,
+            planners=self._planners,
+            link=self._link,
+            now=time.time,
+            new_id=_new_id,
+        )
+        self._requests = RequestService(
+            self._identity,
+            tables,
+            config=self._config,
+            membership=self._membership,
+            peers=self._link,
+            executors=self._executors,
+            now=time.time,
+            new_id=_new_id,
+            rng=random.Random(),
+            outcome_limit=self._settings.limits.outcome_memory,
+        )
+
+    def _build_api(self) -> ApiServer:
+        limits = self._settings.limits
+        routes = [
+            *caller_routes(
+                self._requests,
+                self._jobs,
+                token_authentication(self._settings.callers),
+                max_body_bytes=limits.max_body_bytes,
+            ),
+            *admin_routes(
+                self._config,
+                self._membership,
+                AuditTrail(self._platform.tables),
+                self._settings.operators,
+                limits,
+            ),
+            *health_routes(lambda: self.ready, scrape),
+        ]
+        return ApiServer(
+            self._settings.api, routes, max_body_bytes=limits.max_body_bytes
+        )
+
+    def _vitals(self) -> Vitals:
+        return Vitals(
+            self._config.tables_view.revision,
+            self._requests.usage(),
+            self._requests.free_slots(),
+        )
+
+
+def _platform_client(settings: Settings) -> PlatformClient:
+    platform = settings.platform
+    return PlatformClient(platform.url, token=platform.token)
+
+
+def _report_dropped(reason: str, fields: Mapping[str, object]) -> None:
+    log(events.PEER_MESSAGE_DROPPED, reason=reason, **fields)
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
--- a/libs/app/src/bilberryhitch/serve_command.py
+++ b/libs/app/src/bilberryhitch/serve_command.py
@@ -2,6 +2,7 @@
 
 import argparse
 import sys
+from pathlib import Path
 from typing import Any
 
 import aiomisc
@@ -44,7 +45,7 @@
 
 def serve(arguments: argparse.Namespace) -> ExitCode:
     """Run an entry host until SIGTERM or SIGINT, then shut down gracefully."""
-    loaded = load_settings(arguments.settings)
+    loaded = load_settings(Path(arguments.settings))
     if loaded.is_error():
         return print_settings_error(loaded.error)
     settings = loaded.ok
