--- a/libs/config/src/bilberryhitch_config/__init__.py
+++ b/libs/config/src/bilberryhitch_config/__init__.py
@@ -1,1 +1,8 @@
 """Routes and pools: commit, adoption, history and audit."""
+
+from .audit import AuditEntry, read_audit
+from .commits import ConfigError
+from .in_force import HostRevision
+from .service import ConfigService
+
+__all__ = ["AuditEntry", "ConfigError", "ConfigService", "HostRevision", "read_audit"]
--- /dev/null
+++ b/libs/config/src/bilberryhitch_config/rows.py
@@ -0,0 +1,142 @@
+"""Rows of the table service that hold the configuration."""
+
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+from bilberryhitch_model import (
+    ConfigChange,
+    Pool,
+    Route,
+    TableChange,
+    Tables,
+    decode,
+    encode,
+    from_plain,
+    to_plain,
+)
+from bilberryhitch_model.errors import BadInput, StoreUnavailable
+from bilberryhitch_platform import Delete, Put, Row, TableService, Write
+
+HEAD = "config/head"
+CHANGES = "config/change/"
+ROUTES = "config/route/"
+POOLS = "config/pool/"
+PAGE_ROWS = 500
+# A commit during the scan of 5,500 rows is likely at 17,000 changes a day only
+# when the store is slow; more tries than this mean that it is not usable.
+SNAPSHOT_TRIES = 5
+
+R = TypeVar("R", Route, Pool)
+
+
+class Head(NamedTuple):
+    """Value of the head row: the last accepted revision."""
+
+    revision: int
+
+
+class HeadRow(NamedTuple):
+    """The head row.
+
+    :param revision: last accepted revision; 0 when nothing was committed
+    :param row_revision: store revision to expect in a compare-and-set
+    """
+
+    revision: int
+    row_revision: int
+
+
+def change_key(revision: int) -> str:
+    """Return the key of a change row; keys sort by revision."""
+    return f"{CHANGES}{revision:012d}"
+
+
+def change_writes(change: ConfigChange) -> list[Write]:
+    """Return every write of a commit: head, change row and table rows."""
+    rows = change.change
+    writes: list[Write] = [
+        Put(HEAD, encode(Head(change.revision))),
+        Put(change_key(change.revision), encode_change(change)),
+    ]
+    writes += [Delete(ROUTES + name) for name in rows.delete_routes]
+    writes += [Delete(POOLS + name) for name in rows.delete_pools]
+    writes += [Put(ROUTES + route.name, encode(route)) for route in rows.put_routes]
+    writes += [Put(POOLS + pool.name, encode(pool)) for pool in rows.put_pools]
+    return writes
+
+
+def encode_change(change: ConfigChange) -> bytes:
+    """Return a change row: the change's fields beside its author's."""
+    plain = to_plain(change)
+    return msgspec.json.encode({**plain, **plain.pop("change")})
+
+
+def decode_change(data: bytes) -> ConfigChange:
+    """Return the change of a change row.
+
+    :raises BadInput: the row does not have the form of a change
+    """
+    try:
+        plain: Any = msgspec.json.decode(data)
+    except msgspec.DecodeError as error:
+        raise BadInput("$", "", str(error)) from error
+    if not isinstance(plain, dict):
+        raise BadInput("$", "", "is an object")
+    change = {name: plain.pop(name, []) for name in TableChange._fields}
+    return from_plain(ConfigChange, {**plain, "change": change})
+
+
+async def read_head(tables: TableService) -> HeadRow:
+    """Return the head; revision 0 when nothing was ever committed."""
+    row = await tables.get(HEAD)
+    if row is None:
+        return HeadRow(0, 0)
+    return HeadRow(decode(Head, row.value).revision, row.revision)
+
+
+async def read_changes(
+    tables: TableService, since: int, limit: int
+) -> list[ConfigChange]:
+    """Return at most ``limit`` changes after revision ``since``, oldest first."""
+    page = await tables.scan(CHANGES, after=change_key(since), limit=limit)
+    return [decode_change(row.value) for row in page.rows]
+
+
+async def read_snapshot(tables: TableService) -> Tables:
+    """Return both tables as one commit left them.
+
+    Every commit writes the head, so an unchanged head row proves that no commit
+    came between the first and the last page of the scans.
+
+    :raises StoreUnavailable: commits interfered with every try
+    """
+    head = await read_head(tables)
+    for _ in range(SNAPSHOT_TRIES):
+        routes = await _read_table(tables, ROUTES, Route)
+        pools = await _read_table(tables, POOLS, Pool)
+        confirmed = await read_head(tables)
+        if confirmed == head:
+            return Tables(head.revision, routes, pools)
+        head = confirmed
+    raise StoreUnavailable("consistent scan of config/")
+
+
+async def scan_all(
+    tables: TableService, prefix: str, after: str = ""
+) -> AsyncIterator[Sequence[Row]]:
+    """Yield the pages of a prefix in key order."""
+    more = True
+    while more:
+        page = await tables.scan(prefix, after=after, limit=PAGE_ROWS)
+        yield page.rows
+        more = page.more and bool(page.rows)
+        after = page.rows[-1].key if page.rows else after
+
+
+async def _read_table(tables: TableService, prefix: str, kind: type[R]) -> dict[str, R]:
+    rows: dict[str, R] = {}
+    async for page in scan_all(tables, prefix):
+        for row in page:
+            rows[row.key.removeprefix(prefix)] = decode(kind, row.value)
+    return rows
--- a/libs/model/src/bilberryhitch_model/parsing.py
+++ b/libs/model/src/bilberryhitch_model/parsing.py
@@ -18,21 +18,24 @@
 # Errors quote the offending value; a longer quotation hides the rule.
 MAX_QUOTED = 80
 _SKIPPED = re.compile(
-    r'"(?:[^"\\]|\\.)*+"?|//[^\r\n]*+|/\*.*?\*/|,(?=\s*+[\]}])', re.DOTALL
+    r'"(?:[^"\\]|\\.)*+"?|//[^\r\n]*+|/\*.*?(?:\*/|\Z)|,(?=\s*+[\]}])', re.DOTALL
 )
 _PATH_STEP = re.compile(r"\.([^.\[]+)|\[(\d+)\]")
 _NAMED_FIELD = re.compile(r"field `([^`]+)`")
 
 
-def parse_json(data: bytes) -> Any:
-    """Return the plain values of strict JSON in UTF-8.
+def parse_json(data: bytes, *, comments: bool = False) -> Any:
+    """Return the plain values of JSON in UTF-8, in time linear in its size.
 
+    :param comments: whether comments and trailing commas are allowed
     :raises BadInput: with ``line:column`` or the key, the value and the rule
     """
     try:
         text = data.decode()
     except UnicodeDecodeError as error:
         raise BadInput(f"byte {error.start}", "", "is UTF-8") from error
+    if comments:
+        text = _blank_comments(text)
     return _load(json.loads, text, text)
 
 
--- a/libs/settings/src/bilberryhitch_settings/settings.py
+++ b/libs/settings/src/bilberryhitch_settings/settings.py
@@ -51,8 +51,8 @@
 
     host: str
     data_centre: str
-    api: Address
-    peer: Address
+    api_address: Address
+    peer_address: Address
     peers: tuple[PeerAddress, ...]
     platform: Platform
     operators: Mapping[str, str]
@@ -132,8 +132,8 @@
     return Settings(
         host=checked.identity.host,
         data_centre=checked.identity.data_centre,
-        api=Address(checked.api.ip, checked.api.port),
-        peer=Address(checked.peer.ip, checked.peer.port),
+        api_address=Address(checked.api.ip, checked.api.port),
+        peer_address=Address(checked.peer.ip, checked.peer.port),
         peers=tuple(
             PeerAddress(peer.host, peer.data_centre, Address(peer.ip, peer.port))
             for peer in checked.peers
