--- a/libs/app/src/bilberryhitch/demo_cluster.py
+++ b/libs/app/src/bilberryhitch/demo_cluster.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from bilberryhitch_model import Address, Host, PeerAddress
 from bilberryhitch_platform import MemoryHostList, MemoryTables
@@ -10,12 +10,13 @@
 from bilberryhitch_settings import Platform as PlatformSettings
 from bilberryhitch_standins import ExecutorStandin, WorkerStandin
 
-from .demo_deployments import Deployment, endpoint_hosts, tables
+from .demo_deployments import ACCELERATORS, Deployment, endpoint_hosts, tables
 from .entry_host import EntryHost, Platform
 from .ports import free_ports
 
 ENTRY_HOSTS_PER_DATA_CENTRE = 2
 READY_LIMIT_S = 20.0
+POLL_S = 0.1
 LOOPBACK = "127.0.0.1"
 
 
@@ -41,11 +42,11 @@
     @property
     def accelerators(self) -> int:
         """Accelerators of all workers."""
-        return sum(worker.host.accelerators for worker in self._workers)
+        return ACCELERATORS * len(self._workers)
 
     def accelerators_in_use(self) -> int:
         """Return accelerators on which a task runs now."""
-        return sum(worker.accelerators_running() for worker in self._workers)
+        return sum(worker.model.usage()["accelerators"] for worker in self._workers)
 
     async def start(self) -> None:
         """Start everything, put the tables and wait until they are in force."""
@@ -77,16 +78,21 @@
 
     async def _put_tables(self) -> None:
         first = self._entry_hosts[0]
-        while not (
-            first.ready
-            and first.membership.endpoints("worker", self._deployment.data_centres[0])
-        ):
-            await asyncio.sleep(0.1)
+        centre = self._deployment.data_centres[0]
+        await _until(
+            lambda: first.ready and first.membership.endpoints("worker", centre)
+        )
         result = await first.config.commit(tables(self._deployment), 0, "demo")
         if result.is_error():
             raise result.error
-        while any(host.config.tables_view.revision == 0 for host in self._entry_hosts):
-            await asyncio.sleep(0.1)
+        await _until(
+            lambda: all(host.config.tables_view.revision for host in self._entry_hosts)
+        )
+
+
+async def _until(condition: Callable[[], object]) -> None:
+    while not condition():  # noqa: ASYNC110 - there is no event to wait for
+        await asyncio.sleep(POLL_S)
 
 
 def caller_token(client_account: str) -> str:
@@ -109,8 +115,8 @@
         Settings(
             host=peer.host,
             data_centre=peer.data_centre,
-            api=Address(LOOPBACK, 0),
-            peer=peer.address,
+            api_address=Address(LOOPBACK, 0),
+            peer_address=peer.address,
             peers=tuple(other for other in peers if other != peer),
             platform=PlatformSettings("", ""),
             operators={},
--- a/libs/app/src/bilberryhitch/demo_load.py
+++ b/libs/app/src/bilberryhitch/demo_load.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 from typing import NamedTuple
 
 import aiohttp
@@ -106,7 +107,7 @@
         url = f"{next(self._apis)}/v1/jobs"
         async with self._open.post(url, json=call, headers=headers) as response:
             body = await response.json()
-            if response.status >= aiohttp.http.HTTPStatus.BAD_REQUEST:
+            if response.status >= HTTPStatus.BAD_REQUEST:
                 return response.headers.get("Bilberryhitch-Outcome", "refused")
         return await self._job_outcome(kind, body["job_id"])
 
--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -7,14 +7,13 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from bilberryhitch_api.admin import admin_routes
 from bilberryhitch_api.callers import caller_routes
 from bilberryhitch_api.server import ApiServer, health_routes
-from bilberryhitch_config import AuditTrail, ConfigService
+from bilberryhitch_config import ConfigService
 from bilberryhitch_gangs import HttpWorkerClient, JobService, PlannerSet
 from bilberryhitch_membership import Membership, Vitals
-from bilberryhitch_model import Address, Identity
-from bilberryhitch_peers import PeerLink
+from bilberryhitch_model import Address, Identity, JobRecord
+from bilberryhitch_peers import Message, PeerLink
 from bilberryhitch_platform import (
     HostList,
     OperationsSweeper,
@@ -54,7 +53,7 @@
         self._closing = False
         self._link = PeerLink(
             self._identity,
-            settings.peer,
+            settings.peer_address,
             settings.peers,
             route_messages(self),
             report=_report_dropped,
@@ -165,6 +164,8 @@
             new_id=_new_id,
             broadcast=self._membership.fan_out,
             host_capacity=self._membership.hosts,
+            send=self._link.send,
+            broadcast_local=self._broadcast_local,
         )
         self._build_work_services(tables)
         self._sweeper = OperationsSweeper(tables, new_id=_new_id)
@@ -179,7 +180,7 @@
             make_scheduler=PoolScheduler,
             now=time.time,
             new_id=_new_id,
-            on_change=lambda record: self._jobs.changed(record),
+            on_change=self._job_changed,
         )
         self._jobs = JobService(
             self._identity,
@@ -214,19 +215,18 @@
                 token_authentication(self._settings.callers),
                 max_body_bytes=limits.max_body_bytes,
             ),
-            *admin_routes(
-                self._config,
-                self._membership,
-                AuditTrail(self._platform.tables),
-                self._settings.operators,
-                limits,
-            ),
             *health_routes(lambda: self.ready, scrape),
         ]
         return ApiServer(
-            self._settings.api, routes, max_body_bytes=limits.max_body_bytes
+            self._settings.api_address, routes, max_body_bytes=limits.max_body_bytes
         )
 
+    def _job_changed(self, record: JobRecord) -> None:
+        self._jobs.changed(record)
+
+    def _broadcast_local(self, message: Message) -> None:
+        self._link.broadcast(message, self._identity.data_centre)
+
     def _vitals(self) -> Vitals:
         return Vitals(
             self._config.tables_view.revision,
--- a/libs/app/src/bilberryhitch/message_routing.py
+++ b/libs/app/src/bilberryhitch/message_routing.py
@@ -53,11 +53,8 @@
         if isinstance(message, DrainNotice):
             services.membership.hear_drain(message)
             return None
-        if isinstance(message, ConfigOffer):
-            await services.config.receive(message)
-            return None
-        if isinstance(message, ConfigAsk):
-            return services.config.answer(message)
+        if isinstance(message, ConfigOffer | ConfigAsk):
+            return await services.config.handle(sender, message)
         if isinstance(message, JobNotice | CancelJob | ExplainAsk):
             return await services.jobs.handle(sender, message)
         if isinstance(message, ForwardRequest | RequestStatusAsk):
