--- a/libs/gangs/src/bilberryhitch_gangs/reclaim.py
+++ b/libs/gangs/src/bilberryhitch_gangs/reclaim.py
@@ -13,6 +13,7 @@
 CHECKPOINT_S = 2.0
 STOP_RETRY_S = 1.0
 FAILED_WORKERS = 2
+MAX_FAILURES = 5
 
 CANCELLED_QUEUED = "cancelled before any task started"
 CANCELLED_BETWEEN = "stopped between two attempts"
@@ -103,10 +104,16 @@
 
 
 def _judge_failure(context: PlannerContext, record: JobRecord, host: str) -> Verdict:
-    """Tell a job's own failure from a worker's."""
-    healthy = {*record.failed_on, host} - context.health.quarantined
-    record = record._replace(failed_on=tuple(sorted(healthy)))
-    if record.idempotent and len(healthy) < FAILED_WORKERS:
+    """Tell a job's own failure from a worker's.
+
+    Failures on quarantined workers do not count. The number of failures is
+    limited all the same, because two faulty jobs can keep every worker that
+    they run on in quarantine.
+    """
+    record = record._replace(failed_on=(*record.failed_on, host))
+    healthy = set(record.failed_on) - context.health.quarantined
+    limited = len(record.failed_on) < MAX_FAILURES
+    if record.idempotent and limited and len(healthy) < FAILED_WORKERS:
         return _requeued(record._replace(members=()))
     return _finished(context, record, "failed", f"a task failed on worker {host}")
 
--- a/libs/model/src/bilberryhitch_model/work.py
+++ b/libs/model/src/bilberryhitch_model/work.py
@@ -67,7 +67,7 @@
     :param status: outcome once ``state`` is ``finished``
     :param saved: object store key of the last checkpoint
     :param cancel: whether a caller asked to cancel
-    :param failed_on: healthy workers on which a task of the job failed
+    :param failed_on: worker of each failure of a task of the job
     """
 
     job_id: str
--- /dev/null
+++ b/tests/machines/first_fit_point2_gangs.py
@@ -0,0 +1,107 @@
+"""A first-fit scheduler without sharing rules, in place of the real one."""
+
+from bilberryhitch_model import (
+    Evict,
+    Explanation,
+    Host,
+    Member,
+    Placement,
+    Pool,
+    QueuedJob,
+    Start,
+)
+from expression import Ok
+
+
+class FirstFit:
+    """Places jobs in the order they came on the first hosts with room.
+
+    :ivar to_evict: job ids that the next decision evicts
+    """
+
+    def __init__(self, data_centre, pool: Pool, hosts):
+        self._hosts: dict[str, Host] = {host.name: host for host in hosts}
+        self._out: set[str] = set()
+        self._queue: dict[str, QueuedJob] = {}
+        self._avoid: dict[str, str] = {}
+        self._placed: dict[str, tuple[QueuedJob, Placement]] = {}
+        self.to_evict: list[str] = []
+
+    def submit(self, job, now):
+        self._queue[job.job_id] = job
+        return Ok(None)
+
+    def cancel(self, job_id):
+        return self._queue.pop(job_id, None) is not None
+
+    def decide(self, now):
+        evictions = [Evict(job_id, "") for job_id in self.to_evict]
+        self.to_evict = []
+        starts = []
+        for job in list(self._queue.values()):
+            placement = self._place(job)
+            if placement is not None:
+                self._placed[job.job_id] = (self._queue.pop(job.job_id), placement)
+                starts.append(Start(job.job_id, placement, borrowed=False))
+        return [*evictions, *starts]
+
+    def adopt(self, job, placement, borrowed, now):
+        self._placed[job.job_id] = (job, placement)
+
+    def started(self, job_id, now):
+        pass
+
+    def start_failed(self, job_id, host, now):
+        self._avoid[job_id] = host
+        self.evicted(job_id, now)
+
+    def finished(self, job_id, now):
+        self._placed.pop(job_id, None)
+
+    def evicted(self, job_id, now):
+        job, _ = self._placed.pop(job_id)
+        self._queue[job_id] = job
+
+    def host_lost(self, host):
+        self._out.add(host)
+
+    def host_back(self, host):
+        self._hosts[host.name] = host
+        self._out.discard(host.name)
+
+    def quarantine(self, host):
+        self._out.add(f"quarantine {host}")
+
+    def release(self, host):
+        self._out.discard(f"quarantine {host}")
+
+    def set_pool(self, pool):
+        pass
+
+    def explain(self, job_id):
+        return Explanation(job_id, "queued", "first-fit", "")
+
+    def _place(self, job):
+        left, members = job.shape.tasks, []
+        avoid = self._avoid.pop(job.job_id, "")
+        order = sorted(self._hosts, key=lambda name: (name == avoid, name))
+        for name in order:
+            if {name, f"quarantine {name}"} & self._out or not left:
+                continue
+            free = self._free(name)
+            tasks = min(left, len(free) // job.shape.accelerators)
+            if tasks:
+                used = tuple(free[: tasks * job.shape.accelerators])
+                members.append(Member(name, used, tasks))
+                left -= tasks
+        return None if left else Placement(tuple(members))
+
+    def _free(self, name):
+        taken = {
+            index
+            for _, placement in self._placed.values()
+            for member in placement.members
+            if member.host == name
+            for index in member.accelerators
+        }
+        return [i for i in range(self._hosts[name].accelerators) if i not in taken]
