--- a/libs/requests/src/bilberryhitch_requests/forwarded.py
+++ b/libs/requests/src/bilberryhitch_requests/forwarded.py
@@ -12,6 +12,8 @@
 from .slots import Lease
 from .waiting import Refusal, Ticket, WaitingRequests
 
+_REFUSED = Outcome("not_run", detail="refused by the executor")
+
 
 class ForwardedRequests:
     """Runs copies of other hosts' requests under their grants.
@@ -67,28 +69,27 @@
         copy: RequestRecord,
     ) -> Outcome:
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + message.wait_s
         place = place_of(message.call, route)
-        while True:
-            ticket = Ticket(place, may_forward=False)
-            timer = loop.call_at(until_s, waiting.withdraw, ticket, "timed out")
-            try:
-                target = await waiting.wait(ticket)
-            finally:
-                timer.cancel()
-            if not isinstance(target, Lease):
-                return _not_run(target)
-            if not copy.run and not await self._granted(sender, copy):
-                waiting.unused(place)
-                target.release()
-                return Outcome("not_run", detail="no longer wanted")
-            result = await self._dispatcher.attempt(
-                target, message.call, route, copy, waiting
-            )
-            if isinstance(result, Outcome):
-                return result
-            if result is Failed.LOST:
-                return Outcome("unknown", detail="executor lost")
+        ticket = Ticket(place, may_forward=False)
+        timer = loop.call_later(message.wait_s, waiting.withdraw, ticket, "timed out")
+        try:
+            target = await waiting.wait(ticket)
+        finally:
+            timer.cancel()
+        if not isinstance(target, Lease):
+            return _not_run(target)
+        if not await self._granted(sender, copy):
+            waiting.unused(place)
+            target.release()
+            return Outcome("not_run", detail="no longer wanted")
+        result = await self._dispatcher.attempt(
+            target, message.call, route, copy, waiting
+        )
+        if result is Failed.LOST:
+            return Outcome("unknown", detail="executor lost")
+        # A refused copy goes back to the first entry host instead of waiting here:
+        # while it holds the grant, that host could not call it back.
+        return _REFUSED if result is Failed.NOT_RUN else result
 
     async def _granted(self, sender: str, copy: RequestRecord) -> bool:
         """Ask for the grant; the slot is held meanwhile."""
--- /dev/null
+++ b/libs/requests/tests/test_outcomes.py
@@ -0,0 +1,50 @@
+from bilberryhitch_model import Outcome
+from bilberryhitch_requests.outcomes import Outcomes, RequestRecord
+
+
+def test_closed_record_grants_nothing():
+    record = RequestRecord("h", "acme")
+    record.close("timed out")
+    assert record.answer().status == "not_run"
+    assert not record.grant("a")
+
+
+def test_running_record_is_unknown_until_a_late_answer():
+    record = RequestRecord("h", "acme")
+    assert record.grant("a")
+    record.close("timed out")
+    assert record.answer().status == "unknown"
+    record.finish(Outcome("completed", b"late"))
+    record.finish(Outcome("not_run"))
+    assert record.answer().body == b"late"
+
+
+def test_lost_attempt_rules_out_not_run():
+    record = RequestRecord("h", "acme")
+    record.grant("a")
+    record.lose("a")
+    record.close("timed out")
+    assert record.answer().status == "unknown"
+
+
+def test_grant_goes_to_one_copy_of_the_open_forward():
+    record = RequestRecord("h", "acme")
+    first = record.open_forward("e2")
+    second = record.open_forward("e3")
+    assert not record.grant_forward(first, "run-1", "e2")
+    assert not record.grant_forward(second, "run-2", "e2")
+    assert record.grant_forward(second, "run-2", "e3")
+    assert record.grant_forward(second, "run-2", "e3")
+    assert not record.grant_forward(second, "run-3", "e3")
+
+
+def test_oldest_finished_outcome_is_dropped_and_open_ones_stay():
+    outcomes = Outcomes(max_records=1, max_body_bytes=100)
+    open_record = outcomes.open("open", "acme")
+    for name in ("a", "b"):
+        outcomes.open(name, "acme").finish(Outcome("completed", b"x"))
+    assert outcomes.get("a") is None
+    assert outcomes.get("b") is not None
+    assert outcomes.get("open") is open_record
+    outcomes.open("big", "acme").finish(Outcome("completed", b"x" * 101))
+    assert len(outcomes) == 1
--- /dev/null
+++ b/measure/request_cost.py
@@ -0,0 +1,165 @@
+"""Measures the request path: CPU per request, over-commits and fairness.
+
+``python -m measure.request_cost --seed 1`` prints one JSON line per size, the
+least-squares slope over sizes with its residual, and one line per fairness case.
+Waiting takes virtual time; CPU seconds are those of this process, with the fake
+executors and the fake link included.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import statistics
+import time
+from typing import Any
+from unittest import mock
+
+from bilberryhitch_model import Pool, RequestCall, Route, Tables
+from bilberryhitch_requests import waiting
+from bilberryhitch_testing import run_virtual
+
+from .fifo_queue import FifoQueue
+from .request_cluster import Cluster
+
+SIZES = (1, 2, 3, 4)
+EXECUTORS = 24
+REQUESTS = 4000
+REPEATS = 2
+RUN_S = 0.05
+# 192 slots of 0.05 s serve 3,840 requests a second.
+OFFERED_PER_S = 3000.0
+SMALL_REQUESTS = 200
+SMALL_EVERY_S = 0.05
+LARGE_REQUESTS = 4000
+# Twice what the 16 slots of two executors serve.
+LARGE_PER_S = 640.0
+TIMEOUT_S = 60.0
+
+
+def main() -> None:
+    """Print the measurements."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    costs = []
+    for size in SIZES:
+        row = min(
+            (run_virtual(_load(size, seed + again)) for again in range(REPEATS)),
+            key=lambda found: found["cpu_s_per_request"],
+        )
+        costs.append(row["cpu_s_per_request"])
+        _print(row)
+    _print(_fit(SIZES, costs))
+    for case in ("other account", "same account"):
+        _print(_fairness(case, seed))
+
+
+def _print(row: dict[str, Any]) -> None:
+    print(json.dumps(row), flush=True)
+
+
+def _tables(executors: int) -> Tables:
+    names = tuple(f"x{number}" for number in range(executors))
+    routes = {
+        account: Route(account, "request", "k", account, "p", timeout_s=TIMEOUT_S)
+        for account in ("large", "small")
+    }
+    pool = Pool("p", "request", names, max_queued=100_000)
+    return Tables(1, routes, {"p": pool})
+
+
+def _call(account: str, caller: str) -> RequestCall:
+    return RequestCall(account, caller, account, str(RUN_S).encode())
+
+
+async def _load(size: int, seed: int) -> dict[str, Any]:
+    """Offer a steady load to ``size`` entry hosts."""
+    cluster = Cluster(size, _tables(EXECUTORS), seed=seed)
+    rng = random.Random(seed)
+    await cluster.start()
+    before_s = time.process_time()
+    tasks = []
+    for number in range(REQUESTS):
+        call = _call("large", "c")
+        tasks.append(asyncio.create_task(cluster.submit(number, call)))
+        await asyncio.sleep(rng.expovariate(OFFERED_PER_S))
+    outcomes = await asyncio.gather(*tasks)
+    cpu_s = time.process_time() - before_s
+    await cluster.close()
+    return {
+        "entry_hosts": size,
+        "requests": REQUESTS,
+        "completed": sum(outcome.status == "completed" for outcome in outcomes),
+        "cpu_s_per_request": round(cpu_s / REQUESTS, 7),
+        "peer_calls_per_request": round(cluster.forwards / REQUESTS, 3),
+        "most_running_per_executor": cluster.executors.most_running,
+        "over_commits": cluster.executors.over_commits,
+    }
+
+
+def _fit(sizes: tuple[int, ...], costs: list[float]) -> dict[str, Any]:
+    slope, intercept = statistics.linear_regression(sizes, costs)
+    errors = [
+        cost - (intercept + slope * size)
+        for size, cost in zip(sizes, costs, strict=True)
+    ]
+    return {
+        "cpu_s_per_request_slope_per_host": round(slope, 8),
+        "intercept": round(intercept, 8),
+        "residual_rms": round(statistics.fmean(e * e for e in errors) ** 0.5, 8),
+    }
+
+
+def _fairness(case: str, seed: int) -> dict[str, Any]:
+    """Compare a small caller's p95 beside a large one with its p95 alone."""
+    account = "small" if case == "other account" else "large"
+    alone_s = run_virtual(_small(account, 0, seed))
+    fair_s = run_virtual(_small(account, LARGE_REQUESTS, seed))
+    with mock.patch.object(waiting, "FairQueue", FifoQueue):
+        fifo_s = run_virtual(_small(account, LARGE_REQUESTS, seed))
+    return {
+        "fairness": case,
+        "small_p95_alone_s": round(alone_s, 4),
+        "small_p95_fair_s": round(fair_s, 4),
+        "small_p95_fifo_s": round(fifo_s, 4),
+        "fair_over_alone": round(fair_s / alone_s, 2),
+        "fifo_over_alone": round(fifo_s / alone_s, 2),
+    }
+
+
+async def _small(account: str, large: int, seed: int) -> float:
+    """Return the small caller's p95 completion time in virtual seconds."""
+    cluster = Cluster(2, _tables(2), seed=seed)
+    await cluster.start()
+    flood = asyncio.create_task(_flood(cluster, large, seed))
+    loop = asyncio.get_running_loop()
+
+    async def timed(number: int) -> float:
+        started_s = loop.time()
+        outcome = await cluster.submit(number, _call(account, "small"))
+        assert outcome.status == "completed", outcome
+        return loop.time() - started_s
+
+    tasks = []
+    for number in range(SMALL_REQUESTS):
+        await asyncio.sleep(SMALL_EVERY_S)
+        tasks.append(asyncio.create_task(timed(number)))
+    times = await asyncio.gather(*tasks)
+    await flood
+    await cluster.close()
+    return statistics.quantiles(times, n=20)[-1]
+
+
+async def _flood(cluster: Cluster, large: int, seed: int) -> None:
+    rng = random.Random(seed)
+    tasks = []
+    for number in range(large):
+        call = _call("large", "large")
+        tasks.append(asyncio.create_task(cluster.submit(number, call)))
+        await asyncio.sleep(rng.expovariate(LARGE_PER_S))
+    await asyncio.gather(*tasks)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/machines/request_world.py
+++ b/tests/machines/request_world.py
@@ -27,6 +27,9 @@
 
 TIMEOUT_S = 2.0
 SLOTS = 2
+# Run times as shares of the time-out: "late" ends after the caller's time-out if
+# the request waited for its slot, and "slow" after that of the executor call.
+RUN_SHARES = {"late": 0.95, "slow": 1.3}
 LIMIT = 400
 CENTRES = {"e1": "ruwi", "e2": "ruwi", "e3": "ruwi", "s1": "seeb"}
 EXECUTORS = [Host(n, "executor", d, n) for n, d in (("x1", "ruwi"), ("y1", "seeb"))]
@@ -66,7 +69,7 @@
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         self.world.note("ran", body=body)
-        await asyncio.sleep(TIMEOUT_S * 1.3 if fault == "slow" else 0.3)
+        await asyncio.sleep(TIMEOUT_S * RUN_SHARES.get(fault, 0.15))
         self.running -= 1
         return self._answer(fault, attempt, answer_to(body))
 
@@ -123,7 +126,7 @@
             return await self._call_executor(*arguments)
         return await self.world.deliver(self, *arguments, **options)
 
-    async def _call_executor(self, host, attempt, route, body, kind, timeout_s, limit):
+    async def _call_executor(self, host, attempt, route, body, *limits):
         run = asyncio.ensure_future(self.world.executors[host.name].run(attempt, body))
         run.add_done_callback(lambda task: task.cancelled() or task.exception())
         answer = await asyncio.shield(run)
