--- a/libs/standins/src/bilberryhitch_standins/__init__.py
+++ b/libs/standins/src/bilberryhitch_standins/__init__.py
@@ -2,6 +2,15 @@
 
 from .executor_server import ExecutorStandin
 from .platform_server import PlatformStandin
+from .worker_model import LeaseReport, WorkerEvent, WorkerModel, WorkerReport
 from .worker_server import WorkerStandin
 
-__all__ = ["ExecutorStandin", "PlatformStandin", "WorkerStandin"]
+__all__ = [
+    "ExecutorStandin",
+    "LeaseReport",
+    "PlatformStandin",
+    "WorkerEvent",
+    "WorkerModel",
+    "WorkerReport",
+    "WorkerStandin",
+]
--- a/tests/machines/rules_point2_gangs.py
+++ b/tests/machines/rules_point2_gangs.py
@@ -229,4 +229,3 @@
         for caller, answers in world.told.items()
         if all(each.is_error() and isinstance(each.error, NotRun) for each in answers)
     }
-
