--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -56,6 +56,7 @@
             settings.peer_address,
             settings.peers,
             route_messages(self),
+            queue_limit=settings.limits.peer_queue,
             report=_report_dropped,
         )
         self._build_services()
--- a/libs/gangs/src/bilberryhitch_gangs/context.py
+++ b/libs/gangs/src/bilberryhitch_gangs/context.py
@@ -64,6 +64,7 @@
         self.stale = asyncio.Event()
         self.wake = asyncio.Event()
         self._by_host: dict[str, dict[str, Gang]] = {}
+        self._gang_started: dict[str, asyncio.Event] = {}
         self._tries: dict[str, int] = {}
 
     def next_attempt(self, record: JobRecord) -> int:
@@ -96,6 +97,10 @@
         for host in gang.members:
             self._by_host.get(host, {}).pop(job_id, None)
 
+    def gang_started(self, host: str) -> asyncio.Event:
+        """Return the event that is set whenever a gang starts on the worker."""
+        return self._gang_started.setdefault(host, asyncio.Event())
+
     def gangs_on(self, host: str) -> list[Gang]:
         """Return the gangs with a member on the worker."""
         return list(self._by_host.get(host, {}).values())
--- a/libs/gangs/src/bilberryhitch_gangs/gang.py
+++ b/libs/gangs/src/bilberryhitch_gangs/gang.py
@@ -53,12 +53,14 @@
     """One attempt of a job.
 
     :ivar running: every task was started and leases are being renewed
+    :ivar running_since: loop time of the start; long ago for an adopted gang
     :ivar end: resolves once with the :class:`Ending`
     """
 
     def __init__(self, row: JobRow, hosts: Mapping[str, Host]) -> None:
         self.row = row
         self.running = False
+        self.running_since = NEVER
         self.end: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
         self.members: dict[str, MemberState] = {
             member.host: MemberState(hosts[member.host], member)
--- a/libs/gangs/src/bilberryhitch_gangs/gang_start.py
+++ b/libs/gangs/src/bilberryhitch_gangs/gang_start.py
@@ -51,6 +51,9 @@
     sent_at = asyncio.get_running_loop().time()
     answers = await _on_members(gang, lambda state: _start(context, gang, state))
     gang.running = True
+    gang.running_since = asyncio.get_running_loop().time()
+    for host in gang.members:
+        context.gang_started(host).set()
     for state, answer in zip(gang.members.values(), answers, strict=True):
         if isinstance(answer, LeaseView):
             gang.observe_lease(state.host.name, answer.boot_id, answer, sent_at)
--- a/libs/gangs/src/bilberryhitch_gangs/renewal.py
+++ b/libs/gangs/src/bilberryhitch_gangs/renewal.py
@@ -1,6 +1,7 @@
 """Renews the leases on one worker and takes in what became of its tasks."""
 
 import asyncio
+from contextlib import suppress
 
 from bilberryhitch_model import Host
 from bilberryhitch_model.errors import StaleToken, WorkerRefused, WorkerUnreachable
@@ -13,6 +14,10 @@
 from .worker_client import WorkerView
 
 RENEW_S = 3.0
+# A young gang is asked after sooner, so that the end of a short job is seen within
+# a quarter of its run time; long jobs cost one message every 3 s.
+YOUNG_RENEW_S = 0.5
+YOUNG_SHARE = 0.25
 RETRY_S = 1.0
 PROBE_S = 15.0
 # One lost answer is common; a second one in a row means a lost worker.
@@ -44,7 +49,7 @@
             self._probe_if_due(sent_at)
             # A missed answer is asked for again at once, because the leases
             # run out while it is missing.
-            await asyncio.sleep(RETRY_S if self._misses else RENEW_S)
+            await self._pause(RETRY_S if self._misses else self._pause_s(sent_at))
 
     async def _is_ours(self) -> bool:
         """Whether the worker runs no task of another pool.
@@ -90,6 +95,23 @@
         terms = [(gang, gang.term_s(now)) for gang in gangs]
         return [(gang, term) for gang, term in terms if term > 0]
 
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but only shortly once a gang starts on the worker."""
+        started = self._context.gang_started(self._host.name)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await started.wait()
+                started.clear()
+                await asyncio.sleep(YOUNG_RENEW_S)
+
+    def _pause_s(self, now: float) -> float:
+        """Return the time to the next renewal, shorter while a gang is young."""
+        gangs = self._context.gangs_on(self._host.name)
+        ages = [now - gang.running_since for gang in gangs if gang.running]
+        if not ages:
+            return RENEW_S
+        return min(RENEW_S, max(YOUNG_RENEW_S, min(ages) * YOUNG_SHARE))
+
     def _miss(self) -> None:
         self._misses += 1
         if self._misses < MISSES_LOST:
--- a/libs/standins/src/bilberryhitch_standins/worker_server.py
+++ b/libs/standins/src/bilberryhitch_standins/worker_server.py
@@ -80,6 +80,7 @@
             *routes,
             web.get("/v1/state", self._get(lambda _: model.state())),
             web.get("/v1/usage", self._get(lambda _: self._lagging_usage())),
+            web.get("/v1/history", self._get(lambda _: model.history)),
             web.post("/faults", self._set_faults),
             web.post("/faults/restart", self._restart),
         ]
--- a/tests/path/cluster.py
+++ b/tests/path/cluster.py
@@ -87,6 +87,12 @@
         for host in ENTRY_HOSTS:
             wait_until(lambda host=host: self._ready(host), f"{host} ready")
 
+    def restart_entry_host(self, host: str) -> None:
+        """Start a new process with the settings of one that ended."""
+        self.processes[host].close()
+        self._start(host, ["serve", str(self._folder / f"{host}.jsonc")])
+        self.apis[host] = f"http://{self.address(host)}"
+
     def close(self) -> None:
         for process in reversed(list(self.processes.values())):
             process.close()
