Log planner, gang and job events; end jobs that a full queue dropped

Cause: the scheduler drops the queued job furthest above its share when the queue is full, and nothing told the caller: the row stayed queued. The planner now finishes the row as not_run. Guarantee shortfalls are logged once per change.

--- a/libs/gangs/src/bilberryhitch_gangs/gang_run.py
+++ b/libs/gangs/src/bilberryhitch_gangs/gang_run.py
@@ -4,6 +4,7 @@
 
 from bilberryhitch_model import JobRecord, Start
 from bilberryhitch_model.errors import StoreUnavailable
+from bilberryhitch_telemetry import events, log, metrics
 
 from .context import PlannerContext
 from .gang import Ending, Gang
@@ -28,12 +29,15 @@
     context.add_gang(gang)
     failed_host = await reserve_all(context, gang)
     if failed_host is not None or not await _mark(context, gang):
+        log(events.GANG_START_UNDONE, attempt=gang.attempt_id, host=failed_host)
         await release_all(context, gang)
         context.remove_gang(gang)
         _put_back(context, start.job_id, failed_host or "")
         return
+    log(events.GANG_RESERVED, attempt=gang.attempt_id, hosts=list(gang.members))
     await start_all(context, gang)
     if not gang.end.done():
+        log(events.GANG_STARTED, attempt=gang.attempt_id, hosts=list(gang.members))
         context.scheduler.started(start.job_id, _loop_time())
     await follow(context, gang)
 
@@ -41,6 +45,10 @@
 async def follow(context: PlannerContext, gang: Gang) -> None:
     """Wait for the gang's end and write what became of the job."""
     ending = await gang.end
+    if ending.cause in ("lost", "unstarted"):
+        log(events.GANG_PARTIAL_STOPPED, attempt=gang.attempt_id, host=ending.host)
+    elif ending.cause == "evict":
+        log(events.GANG_EVICTED, attempt=gang.attempt_id)
     saved = ""
     if ending.cause == "evict" and gang.record.checkpoint:
         saved = await checkpoint_all(context, gang)
@@ -125,6 +133,7 @@
         return
     if context.health.task_failed(ending.host, gang.record.job_id):
         context.scheduler.quarantine(ending.host)
+        log(events.WORKER_QUARANTINED, host=ending.host)
 
 
 def _settle(
@@ -133,17 +142,28 @@
     """Tell the scheduler what became of the job."""
     job_id = gang.record.job_id
     if row is None or row.record.state == "finished":
+        if row is not None:
+            _log_outcome(row.record)
         if row is not None and row.record.status == "failed":
             context.health.clear_job(job_id)
         context.scheduler.finished(job_id, _loop_time())
         context.forget_job(job_id)
         return
     context.note_row(row)
+    log(events.JOB_REQUEUED, job_id=job_id, cause=ending.cause)
     if ending.cause == "evict":
         context.scheduler.evicted(job_id, _loop_time())
     else:
         context.scheduler.start_failed(job_id, ending.host, _loop_time())
 
 
+def _log_outcome(record: JobRecord) -> None:
+    event = events.JOB_FINISHED
+    if record.status == "cancelled":
+        event = events.JOB_CANCELLED
+    log(event, job_id=record.job_id, status=record.status, detail=record.detail)
+    metrics.JOBS.add(1, {"pool": record.pool, "outcome": record.status or ""})
+
+
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
--- a/libs/gangs/src/bilberryhitch_gangs/jobs.py
+++ b/libs/gangs/src/bilberryhitch_gangs/jobs.py
@@ -33,6 +33,7 @@
     Message,
 )
 from bilberryhitch_platform import Expect, TableService
+from bilberryhitch_telemetry import events, log, metrics
 from expression import Error, Ok, Result
 
 from .job_accept import SETTLE_S, AcceptError, JobAcceptance
@@ -133,6 +134,8 @@
         accepted = await self._acceptance.accept(call)
         if accepted.is_ok():
             record = accepted.ok
+            log(events.JOB_ACCEPTED, job_id=record.job_id, route=record.route)
+            metrics.JOBS_ACCEPTED.add(1, {"pool": record.pool})
             notice = JobNotice(record.job_id, record.state)
             self._tell_planner(record.job_id, notice)
         return accepted
--- a/libs/gangs/src/bilberryhitch_gangs/planner.py
+++ b/libs/gangs/src/bilberryhitch_gangs/planner.py
@@ -6,6 +6,7 @@
 
 from bilberryhitch_model import Explanation, Identity, JobRecord
 from bilberryhitch_platform import TableService
+from bilberryhitch_telemetry import events, log
 
 from .context import PlannerContext
 from .planner_lease import PlannerLease, PlannerLost
@@ -73,7 +74,9 @@
             with suppress(asyncio.CancelledError):
                 await self._task
             self._task = None
-        await self._lease.release()
+        if self._lease.held:
+            await self._lease.release()
+            log(events.PLANNER_RELEASED, pool=self._pool, epoch=self._lease.epoch)
 
     def wake(self) -> None:
         """Look at the job rows now instead of at the next poll."""
@@ -90,8 +93,11 @@
         """Acquire, reconcile, plan until the lease is lost, and begin again."""
         while True:
             await self._lease.acquire(self._own_rank)
-            with suppress(PlannerLost):
+            log(events.PLANNER_ACQUIRED, pool=self._pool, epoch=self._lease.epoch)
+            try:
                 await self._hold()
+            except PlannerLost as lost:
+                log(events.PLANNER_LOST, pool=lost.pool, epoch=lost.epoch)
 
     async def _hold(self) -> None:
         view = self._view()
--- a/libs/gangs/src/bilberryhitch_gangs/pool_scheduler.py
+++ b/libs/gangs/src/bilberryhitch_gangs/pool_scheduler.py
@@ -6,6 +6,7 @@
 from bilberryhitch_model import (
     Decision,
     Explanation,
+    GuaranteeShortfall,
     Host,
     Placement,
     Pool,
@@ -15,6 +16,14 @@
 from expression import Result
 
 
+class Dropped(Protocol):
+    """A job that a full queue dropped."""
+
+    @property
+    def item(self) -> QueuedJob:
+        """The job."""
+
+
 class PoolScheduler(Protocol):
     """Places the jobs of one pool in one data centre; times are loop seconds.
 
@@ -28,6 +37,12 @@
     ) -> Result[None, ShapeImpossible | QueueFull]:
         """Queue a job."""
 
+    def take_dropped(self) -> Sequence[Dropped]:
+        """Return, once, the jobs that a full queue dropped; they never ran."""
+
+    def shortfall(self) -> Sequence[GuaranteeShortfall]:
+        """Return the guaranteed cells that the hosts left cannot hold."""
+
     def cancel(self, job_id: str) -> bool:
         """Forget a queued job."""
 
--- a/libs/gangs/src/bilberryhitch_gangs/probe.py
+++ b/libs/gangs/src/bilberryhitch_gangs/probe.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from bilberryhitch_model import Host
+from bilberryhitch_telemetry import events, log
 
 from .context import WORKER_ERRORS, PlannerContext
 from .worker_client import Reservation
@@ -24,6 +25,7 @@
     if passed:
         context.health.release(host.name)
         context.scheduler.release(host.name)
+        log(events.WORKER_RELEASED, host=host.name)
         context.wake.set()
 
 
--- a/libs/gangs/src/bilberryhitch_gangs/renewal.py
+++ b/libs/gangs/src/bilberryhitch_gangs/renewal.py
@@ -5,6 +5,7 @@
 
 from bilberryhitch_model import Host
 from bilberryhitch_model.errors import StaleToken, WorkerRefused, WorkerUnreachable
+from bilberryhitch_telemetry import events, log
 
 from .context import WORKER_ERRORS, PlannerContext
 from .gang import TERM_S, Ending, Gang
@@ -116,6 +117,8 @@
         self._misses += 1
         if self._misses < MISSES_LOST:
             return
+        if self.usable:
+            log(events.WORKER_LOST, host=self._host.name)
         self._set_usable(False)
         for gang in self._context.gangs_on(self._host.name):
             if gang.running and not gang.members[self._host.name].done:
--- a/libs/gangs/src/bilberryhitch_gangs/tenure.py
+++ b/libs/gangs/src/bilberryhitch_gangs/tenure.py
@@ -7,6 +7,7 @@
 
 from bilberryhitch_model import (
     Explanation,
+    GuaranteeShortfall,
     Host,
     JobRecord,
     OutcomeStatus,
@@ -14,6 +15,7 @@
     Start,
 )
 from bilberryhitch_model.errors import StoreUnavailable
+from bilberryhitch_telemetry import events, log, metrics
 
 from .context import PlannerContext
 from .gang import Ending
@@ -59,6 +61,8 @@
         self._links: dict[str, WorkerLink] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._since = 0
+        self._noted_pool: Pool | None = None
+        self._shortfall: tuple[GuaranteeShortfall, ...] = ()
         self._leaving = False
         self.ready = False
         self.poll_now = asyncio.Event()
@@ -100,7 +104,10 @@
             await asyncio.sleep(SETTLE_S)
 
     def _decide(self) -> None:
+        pool = self._pool.name
         for decision in self._context.scheduler.decide(_loop_time()):
+            kind = "start" if isinstance(decision, Start) else "evict"
+            metrics.DECISIONS.add(1, {"pool": pool, "decision": kind})
             if isinstance(decision, Start):
                 self._context.spawn(launch(self._context, decision))
                 continue
@@ -146,6 +153,14 @@
         result = self._context.scheduler.submit(queued_job(row.record, at), at)
         if result.is_error():
             self._context.spawn(self._refuse(row, str(result.error)))
+        for dropped in self._context.scheduler.take_dropped():
+            self._refuse_dropped(dropped.item.job_id)
+
+    def _refuse_dropped(self, job_id: str) -> None:
+        """End a job that a full queue gave up for one with a better claim."""
+        row = self._context.rows.get(job_id)
+        if row is not None:
+            self._context.spawn(self._refuse(row, "the queue of the pool is full"))
 
     async def _refuse(self, row: JobRow, reason: str) -> None:
         """End a job that the scheduler does not take."""
@@ -162,6 +177,18 @@
         await self._context.change_row(row, change)
         self._context.forget_job(row.record.job_id)
 
+    def _note_shortfall(self) -> None:
+        """Report guarantees that the hosts left cannot hold, once per change."""
+        shortfall = tuple(self._context.scheduler.shortfall())
+        if shortfall == self._shortfall:
+            return
+        self._shortfall = shortfall
+        pool = self._pool.name
+        for missing in shortfall:
+            log(events.GUARANTEE_SHORTFALL, pool=pool, **missing._asdict())
+        if not shortfall:
+            log(events.GUARANTEE_RESTORED, pool=pool)
+
     def _sync_pool(self) -> None:
         """Pass changes of the pool and its workers to the scheduler."""
         view = self._view()
@@ -175,7 +202,9 @@
             self._context.scheduler.host_lost(name)
         for name in sorted(placeable - self._placeable):
             self._context.scheduler.host_back(self._context.hosts[name])
-        self._placeable = placeable
+        if placeable != self._placeable or view.pool != self._noted_pool:
+            self._placeable, self._noted_pool = placeable, view.pool
+            self._note_shortfall()
 
     def _update_hosts(self, view: PoolView) -> None:
         for host in view.hosts:
--- a/tests/machines/first_fit_point2_gangs.py
+++ b/tests/machines/first_fit_point2_gangs.py
@@ -27,6 +27,12 @@
         self._placed: dict[str, tuple[QueuedJob, Placement]] = {}
         self.to_evict: list[str] = []
 
+    def take_dropped(self):
+        return []
+
+    def shortfall(self):
+        return []
+
     def submit(self, job, now):
         self._queue[job.job_id] = job
         return Ok(None)
--- a/tests/machines/harness.py
+++ b/tests/machines/harness.py
@@ -4,6 +4,7 @@
 
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+from loguru import logger
 
 STEPS_PER_HISTORY = 50
 
@@ -35,6 +36,7 @@
 
     :param histories: how many histories of ``STEPS_PER_HISTORY`` steps to run
     """
+    logger.remove()  # thousands of histories would write millions of lines
     seed(seed_number)(point.machine)
     run_state_machine_as_test(
         point.machine,
