--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -7,9 +7,10 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from bilberryhitch_api.admin import admin_routes
 from bilberryhitch_api.callers import caller_routes
 from bilberryhitch_api.server import ApiServer, health_routes
-from bilberryhitch_config import ConfigService
+from bilberryhitch_config import ConfigService, read_audit
 from bilberryhitch_gangs import HttpWorkerClient, JobService, PlannerSet
 from bilberryhitch_membership import Membership, Vitals
 from bilberryhitch_model import Address, Identity, JobRecord
@@ -216,6 +217,13 @@
                 token_authentication(self._settings.callers),
                 max_body_bytes=limits.max_body_bytes,
             ),
+            *admin_routes(
+                self._config,
+                self._membership,
+                lambda limit: read_audit(self._platform.tables, limit, time.time()),
+                self._settings.operators,
+                max_body_bytes=limits.max_body_bytes,
+            ),
             *health_routes(lambda: self.ready, scrape),
         ]
         return ApiServer(
