Stop a planner that is cancelled while it loses its lease

Cause: a task group that fails while its parent is cancelled raises the failure and drops the cancellation, so the planner became a candidate again and close() waited for ever. Ruled out: asyncio.timeout, whose cancel count was right. Conclusion: the planner looks at its cancel count.

--- a/libs/gangs/src/bilberryhitch_gangs/planner.py
+++ b/libs/gangs/src/bilberryhitch_gangs/planner.py
@@ -92,6 +92,11 @@
             await self._lease.acquire(self._own_rank)
             with suppress(PlannerLost):
                 await self._hold()
+            # A task group that fails while it is cancelled raises only the
+            # failure, so the cancellation has to be looked for.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise asyncio.CancelledError
 
     async def _hold(self) -> None:
         view = self._view()
