Never resume a gang from a checkpoint that a finished member lacks

Cause: checkpoint_all asked only the members still running, so a resume ran the tasks of a finished member a second time.

--- a/libs/gangs/src/bilberryhitch_gangs/reclaim.py
+++ b/libs/gangs/src/bilberryhitch_gangs/reclaim.py
@@ -38,8 +38,13 @@
 async def checkpoint_all(context: PlannerContext, gang: Gang) -> str:
     """Save the state of every task.
 
+    A gang with a member that is done has no checkpoint of the whole, and a
+    resume would run the finished tasks again.
+
     :returns: the key of the checkpoint, or empty unless all confirmed in time
     """
+    if any(state.done for state in gang.members.values()):
+        return ""
     saved = f"checkpoints/{gang.attempt_id}"
 
     async def save(state: MemberState) -> bool:
@@ -51,7 +56,7 @@
             return False
         return True
 
-    calls = [save(state) for state in gang.members.values() if not state.done]
+    calls = [save(state) for state in gang.members.values()]
     try:
         async with asyncio.timeout(CHECKPOINT_S):
             confirmed = await asyncio.gather(*calls)
