Show that the bound on partial gangs needs its mechanisms

Shortest histories found: submit a gang of three, cut both planners from one worker, restart it, let 3 s pass, kill both planners (term counted from the last sighting); submit, refuse one start (undo of a refused start).

--- a/tests/machines/rules_point2_gangs.py
+++ b/tests/machines/rules_point2_gangs.py
@@ -35,13 +35,29 @@
         fail=st.sampled_from([False, False, False, True]),
         settle_s=st.sampled_from([0.0, 0.1, 1.5, 4.0]),
     )
-    def submit(self, route, tasks, accelerators, seconds, fail, settle_s):
+    def submit(self, *, route, tasks, accelerators, seconds, fail, settle_s):
         call = self.world.call(route, tasks, accelerators, seconds, fail=fail)
         for name in "ab":
             if not self.world.told.get(call.caller):
                 self._accept(call, name)
         self.world.advance(settle_s)
 
+    def submit_one(self, route, seconds, *, tasks=1, settle_s=0.0):
+        """Submit as the rule does, for histories written by hand."""
+        self.submit(
+            route=route,
+            tasks=tasks,
+            accelerators=3,
+            seconds=seconds,
+            fail=False,
+            settle_s=settle_s,
+        )
+
+    def advance_to(self, kind):
+        """Run until a worker has seen an event of the kind."""
+        while not any(event.kind == kind for event in self.world.events()):
+            self.world.advance(0.001)
+
     @rule(
         route=routes,
         sizes=st.lists(st.integers(1, 3), min_size=1, max_size=2),
--- a/tests/machines/test_point2_gangs.py
+++ b/tests/machines/test_point2_gangs.py
@@ -1,7 +1,13 @@
 """Point 2: no gang runs partially."""
 
+import pytest
+from bilberryhitch_gangs import gang_start
+from bilberryhitch_gangs.gang import TERM_S, Gang
+from bilberryhitch_gangs.renewal import WorkerLink
+from bilberryhitch_standins import WorkerEvent
+
 from .harness import Counts, Point, run_point
-from .oracle_point2_gangs import check_gangs
+from .oracle_point2_gangs import BOUND_S, check_gangs
 from .rules_point2_gangs import GangRules, accelerators_by_job
 
 
@@ -20,3 +26,130 @@
 
 def test_point_holds():
     run_point(POINT, seed_number=1, histories=15)
+
+
+def planner_killed_before_it_sees_a_loss(machine):
+    """A worker restarts unseen; the planner ends just after it renewed."""
+    machine.submit_one("any", 40.0, tasks=3, settle_s=4.0)
+    (holder,) = machine.world.holders()
+    for process in machine.world.processes.values():
+        process.cut.add("w1")
+    machine.world.workers["w1"].model.restart()
+    machine.advance(3.0)
+    machine.world.processes["a"].kill()
+    machine.world.processes["b"].kill()
+    machine.advance(12.0)
+
+
+def planner_cannot_stop_the_rest(machine):
+    """A start is refused while the stop of the others does not arrive."""
+    machine.submit_one("any", 40.0, tasks=3)
+    machine.advance_to("reserve")
+    machine.refuse_or_fail("w1", True)
+    machine.advance_to("start")
+    for process in machine.world.processes.values():
+        process.cut.add("w0")
+    machine.advance(12.0)
+    machine.advance(3.0)
+
+
+def start_refused(machine):
+    machine.submit_one("any", 40.0, tasks=3)
+    machine.advance_to("reserve")
+    machine.refuse_or_fail("w1", True)
+    machine.advance(12.0)
+    machine.advance(3.0)
+
+
+def always_renewed(gang, now):
+    return TERM_S if gang.running else 0.0
+
+
+def always_due(link, now):
+    gangs = link._context.gangs_on(link._host.name)
+    return [(gang, TERM_S) for gang in gangs]
+
+
+async def start_and_hope(context, gang):
+    for state in gang.members.values():
+        try:
+            await gang_start._start(context, gang, state)
+        except gang_start.WORKER_ERRORS:
+            continue
+
+
+ABLATIONS = {
+    "term counted from the last sighting": (
+        [(Gang, "term_s", always_renewed)],
+        planner_killed_before_it_sees_a_loss,
+    ),
+    "undo of a refused start": (
+        [
+            ("bilberryhitch_gangs.gang_run.start_all", start_and_hope),
+            (WorkerLink, "_due", always_due),
+        ],
+        start_refused,
+    ),
+}
+HISTORIES = [
+    planner_killed_before_it_sees_a_loss,
+    planner_cannot_stop_the_rest,
+    start_refused,
+]
+
+
+@pytest.mark.parametrize("history", HISTORIES)
+def test_history_keeps_the_bound(history):
+    machine = GangMachine()
+    history(machine)
+    machine.teardown()
+
+
+@pytest.mark.parametrize("name", ABLATIONS)
+def test_mechanism_is_needed(name, monkeypatch):
+    patches, history = ABLATIONS[name]
+    for patch in patches:
+        monkeypatch.setattr(*patch)
+    machine = GangMachine()
+    with pytest.raises(AssertionError, match="partially"):
+        try:
+            history(machine)
+        finally:
+            machine.teardown()
+
+
+def event(at, kind, host):
+    return WorkerEvent(at, kind, host, "j/1/1", 1, 2)
+
+
+BROKEN = {
+    "one member never starts": [event(0, "start", "w0")],
+    "one member is lost": [
+        event(0, "start", "w0"),
+        event(0, "start", "w1"),
+        event(1, "lost", "w1"),
+        event(1 + BOUND_S + 0.1, "stop", "w0"),
+    ],
+    "one member fails": [
+        event(0, "start", "w0"),
+        event(0, "start", "w1"),
+        event(1, "fail", "w1"),
+        event(20, "finish", "w0"),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_oracle_rejects(name):
+    with pytest.raises(AssertionError):
+        check_gangs(BROKEN[name], {"j": 4}, now=100.0)
+
+
+def test_oracle_accepts_members_that_finish_apart():
+    events = [
+        event(0, "start", "w0"),
+        event(5, "start", "w1"),
+        event(10, "finish", "w0"),
+        event(60, "finish", "w1"),
+    ]
+    check_gangs(events, {"j": 4}, now=100.0)
--- a/tests/machines/test_point5_jobs.py
+++ b/tests/machines/test_point5_jobs.py
@@ -1,6 +1,7 @@
 """Points 4 and 5 for jobs: at most one run, and truthful answers."""
 
 import itertools
+from functools import partial
 
 import pytest
 from bilberryhitch_gangs import gang_run, gang_start, job_accept, reclaim
@@ -53,7 +54,7 @@
         process = world.processes[holder]
         call = world.call("once", tasks=2, accelerators=3, seconds=3.0)
         assert world.submit(call, "b").is_ok()
-        process.at_step(steps, lambda: inject(world, process, fault))
+        process.at_step(steps, partial(inject, world, process, fault))
         world.advance(4)
         reached = process.steps_left <= 0
         world.advance(12)
@@ -95,23 +96,18 @@
 
 
 def start_answer_lost(machine):
-    machine.submit("once", 1, 2, 4.0, False, 0.0)
-    advance_to(machine, "reserve")
+    machine.submit_one("once", 4.0)
+    machine.advance_to("reserve")
     machine.lose_worker_answers("w0", 1, 0)
-    advance_to(machine, "start")
+    machine.advance_to("start")
     machine.pause_worker("w0")
     machine.advance(12.0)
     machine.advance(3.0)
     machine.pause_worker("w0")
 
 
-def advance_to(machine, kind):
-    while not any(event.kind == kind for event in machine.world.events()):
-        machine.world.advance(0.001)
-
-
 def cancel_crosses_start(machine):
-    machine.submit("once", 1, 2, 4.0, False, 0.0)
+    machine.submit_one("once", 4.0)
     machine.world.advance(0.033)
     machine.cancel(0, "b")
     machine.world.advance(5)
@@ -119,7 +115,7 @@
 
 def checkpoint_refused(machine):
     machine.ignore_checkpoint("w0", True)
-    machine.submit("once-save", 1, 2, 15.0, False, 4.0)
+    machine.submit_one("once-save", 15.0, settle_s=4.0)
     machine.evict(0)
     machine.advance(3.0)
 
