Renew the planner lease every second

Cause: the renewal was skipped when the row was written less than a second ago, and a sleep of one second ends a rounding error early, so every second renewal was skipped. Conclusion: it is skipped only after another write within the last half second.

--- a/libs/gangs/src/bilberryhitch_gangs/planner_lease.py
+++ b/libs/gangs/src/bilberryhitch_gangs/planner_lease.py
@@ -171,7 +171,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(RENEW_S)
-            if loop.time() - self._written_at < RENEW_S:
+            # Another transaction has just renewed the row as well.
+            if loop.time() - self._written_at < RENEW_S / 2:
                 continue
             try:
                 await self.transact((), ())
--- /dev/null
+++ b/libs/gangs/tests/test_planner_lease.py
@@ -0,0 +1,153 @@
+import itertools
+
+import pytest
+from bilberryhitch_gangs.planner_lease import (
+    PlannerLease,
+    PlannerLost,
+    commit_settled,
+    planner_key,
+    rank,
+)
+from bilberryhitch_model import Identity
+from bilberryhitch_model.errors import StoreAnswerLost, StoreUnavailable
+from bilberryhitch_platform import MemoryTables, Put
+from bilberryhitch_testing import FaultyTables, VirtualTimeLoop
+
+KEY = planner_key("ruwi", "gpu")
+
+
+@pytest.fixture
+def loop():
+    loop = VirtualTimeLoop()
+    yield loop
+    loop.close()
+
+
+def make_lease(tables, host="a"):
+    ids = (f"{host}-{number}" for number in itertools.count())
+    identity = Identity(host, "ruwi", f"{host}-1")
+    return PlannerLease(identity, "gpu", tables, new_id=lambda: next(ids))
+
+
+def take_over(loop, tables, host="b"):
+    lease = make_lease(tables, host)
+    loop.run_until_complete(lease.acquire(lambda: 0))
+    return lease
+
+
+def test_renews_every_second(loop):
+    # Guards against renewals that are skipped and bring the lapse near.
+    tables = MemoryTables()
+    lease = take_over(loop, tables)
+    task = loop.create_task(lease.keep())
+    before = tables.revision
+    loop.advance(10.5)
+    task.cancel()
+    assert tables.revision - before == 10
+
+
+def test_candidate_waits_for_the_lapse_and_its_rank(loop):
+    # Guards against a take-over from a holder that still renews.
+    tables = MemoryTables()
+    holder = take_over(loop, tables, "a")
+    task = loop.create_task(holder.keep())
+    other = make_lease(tables, "b")
+    candidate = loop.create_task(other.acquire(lambda: 2))
+    loop.advance(20)
+    assert not other.held
+    task.cancel()
+    since = loop.time()
+    loop.run_until_complete(candidate)
+    assert 3.0 <= loop.time() - since <= 5.0
+    assert other.epoch > holder.epoch
+
+
+def test_replaced_holder_cannot_write(loop):
+    # Guards against a start mark of a planner that was replaced.
+    tables = MemoryTables()
+    old = take_over(loop, tables, "a")
+    take_over(loop, tables, "b")
+    with pytest.raises(PlannerLost):
+        loop.run_until_complete(old.transact((), [Put("x", b"")]))
+    assert loop.run_until_complete(tables.get("x")) is None
+    assert not old.held
+
+
+def test_lost_answer_of_a_renewal_does_not_lose_the_lease(loop):
+    # Guards against taking its own uncertain write for another holder's.
+    inner = MemoryTables()
+    tables = FaultyTables(inner)
+    lease = take_over(loop, tables)
+    tables.lose_answers = 5
+    assert loop.run_until_complete(lease.transact((), [Put("x", b"1")])).is_ok()
+    assert loop.run_until_complete(lease.transact((), [Put("y", b"1")])).is_ok()
+
+
+def test_store_outage_neither_loses_nor_takes_the_lease(loop):
+    # Guards against a mass take-over when the store returns.
+    inner = MemoryTables()
+    views = {name: FaultyTables(inner) for name in "ab"}
+    holder = take_over(loop, views["a"], "a")
+    task = loop.create_task(holder.keep())
+    other = make_lease(views["b"], "b")
+    candidate = loop.create_task(other.acquire(lambda: 0))
+    loop.advance(2)
+    for view in views.values():
+        view.down = True
+    loop.advance(60)
+    assert holder.held and not holder.store_up
+    for view in views.values():
+        view.down = False
+    loop.advance(5)
+    assert holder.held and holder.store_up and not other.held
+    for each in (task, candidate):
+        each.cancel()
+
+
+def test_release_lets_the_next_candidate_in_at_once(loop):
+    # Guards against waiting for the lapse on an orderly hand-over.
+    tables = MemoryTables()
+    holder = take_over(loop, tables, "a")
+    loop.run_until_complete(holder.release())
+    since = loop.time()
+    assert take_over(loop, tables, "b").epoch > holder.epoch
+    assert loop.time() - since < 1.0
+
+
+def test_raised_epoch_is_kept(loop):
+    # Guards against a higher token that the row does not show.
+    tables = MemoryTables()
+    lease = take_over(loop, tables)
+    before = lease.epoch
+    loop.run_until_complete(lease.raise_epoch())
+    assert lease.epoch == before + 1
+    assert loop.run_until_complete(lease.transact((), ())).is_ok()
+
+
+def test_unsettled_commit_says_so(loop):
+    # Guards against a lost answer that is reported as no effect.
+    tables = FaultyTables(MemoryTables())
+    tables.lose_answers = 100
+    with pytest.raises(StoreAnswerLost):
+        loop.run_until_complete(commit_settled(tables, [], [], "op", 2.0))
+
+
+def test_abandoned_commit_is_no_effect(loop):
+    # Guards against an uncertain answer where certainty can be had.
+    class LosesBefore(FaultyTables):
+        async def transact(self, expects, writes):
+            if self.lose_answers:
+                self.lose_answers -= 1
+                raise StoreAnswerLost("lost on the way there")
+            return await super().transact(expects, writes)
+
+    tables = LosesBefore(MemoryTables())
+    tables.lose_answers = 3
+    with pytest.raises(StoreUnavailable):
+        loop.run_until_complete(commit_settled(tables, [], [Put("x", b"")], "op"))
+
+
+def test_ranks_are_a_permutation():
+    # Guards against two candidates of the same rank.
+    hosts = [f"e{i}" for i in range(7)]
+    assert sorted(rank(hosts, "ruwi", "gpu", host) for host in hosts) == list(range(7))
