--- a/libs/gangs/src/bilberryhitch_gangs/planner.py
+++ b/libs/gangs/src/bilberryhitch_gangs/planner.py
@@ -98,6 +98,11 @@
                 await self._hold()
             except PlannerLost as lost:
                 log(events.PLANNER_LOST, pool=lost.pool, epoch=lost.epoch)
+            # A task group that fails while it is cancelled raises only the
+            # failure, so the cancellation has to be looked for.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise asyncio.CancelledError
 
     async def _hold(self) -> None:
         view = self._view()
