Close runs one by one; believe a run again that outlives a later one

Seen by the point 6 machine: ruwi2 left and restarted, ruwi1 restarted and heard the new run before a delayed heartbeat of the old one. The old run was taken for the newest, every heartbeat of the new run was ignored for good, and closing 'all earlier runs' spread the mistake to peers. Ruled out: dropping the order of runs altogether, which brings back boots that a lagging list shows. The digest now looks only at hosts with marks, not at every known host.

--- a/libs/membership/src/bilberryhitch_membership/leaving.py
+++ b/libs/membership/src/bilberryhitch_membership/leaving.py
@@ -7,6 +7,7 @@
 from bilberryhitch_peers import DrainNotice, Heartbeat
 
 from .drains import Drains
+from .entry_hosts import SILENT_S
 from .run_ledger import RunLedger
 
 HOST_LIST_LAG_S = 60.0  # longest lag of the host list that is allowed for
@@ -21,10 +22,13 @@
     def __init__(self, identity: Identity) -> None:
         self._drains = Drains()
         self._boots: defaultdict[str, RunLedger] = defaultdict(
-            lambda: RunLedger(HOST_LIST_LAG_S)
+            lambda: RunLedger(HOST_LIST_LAG_S, HOST_LIST_LAG_S)
         )
-        self._runs: defaultdict[str, RunLedger] = defaultdict(RunLedger)
-        self._runs[identity.host].observe(identity.incarnation)
+        self._runs: defaultdict[str, RunLedger] = defaultdict(
+            lambda: RunLedger(SILENT_S)
+        )
+        self._runs[identity.host].observe(identity.incarnation, 0.0)
+        self._marked: set[str] = set()
         self._me = identity.host
         self._last_news_s: dict[str, float] = {}
         self.drains_revision = 0
@@ -37,6 +41,7 @@
         if notice.store_revision:
             return self._drains.learn(notice)
         self._last_news_s[notice.host] = now_s
+        self._marked.add(notice.host)
         if notice.incarnation:
             return self._runs[notice.host].close(notice.incarnation, now_s)
         return self._boots[notice.host].close(notice.boot_id, now_s)
@@ -45,13 +50,16 @@
         """Note the run of an entry host; ``False`` when it is an earlier one."""
         self._last_news_s[host] = now_s
         runs = self._runs[host]
-        runs.observe(incarnation)
+        runs.observe(incarnation, now_s)
         return runs.current == incarnation
 
     def observe_boot(self, host: str, boot_id: str, now_s: float) -> None:
         """Note the boot that the host list shows."""
         self._last_news_s[host] = now_s
-        self._boots[host].observe(boot_id)
+        boots = self._boots[host]
+        boots.observe(boot_id, now_s)
+        if boots.is_leaving(now_s):
+            self._marked.add(host)
 
     def forget(self, before_s: float) -> None:
         """Drop the runs of hosts of which nothing was heard since; drains stay."""
@@ -78,32 +86,36 @@
         """Whether a row of the host list is about the newest known boot."""
         return self._boots[host.name].current == host.boot_id
 
-    def boot_marks(self, host: str) -> tuple[str, ...]:
+    def boot_marks(self, host: str, now_s: float) -> tuple[str, ...]:
         """Return the leaving boots of a host, unless a newer one is live."""
-        return self._boots[host].marks if host in self._boots else ()
+        return self._boots[host].marks(now_s) if host in self._boots else ()
 
-    def missing_at(self, peer: Heartbeat) -> list[DrainNotice]:
+    def missing_at(self, peer: Heartbeat, now_s: float) -> list[DrainNotice]:
         """Return what the sender of a heartbeat may not know."""
         missing = self._drains.since(peer.drains_revision)
-        if peer.marks_digest != self.digest():
-            missing += self._marks()
+        if peer.marks_digest != self.digest(now_s):
+            missing += self._marks(now_s)
         return missing
 
-    def digest(self) -> int:
+    def digest(self, now_s: float) -> int:
         """Return a digest of the leaving boots and runs, equal where they are."""
-        marks = sorted((m.host, m.boot_id, m.incarnation) for m in self._marks())
+        marks = sorted((m.host, m.boot_id, m.incarnation) for m in self._marks(now_s))
         data = hashlib.blake2b(repr(marks).encode(), digest_size=7).digest()
         return int.from_bytes(data, "big")
 
-    def _marks(self) -> list[DrainNotice]:
-        boots = [
-            DrainNotice(host, True, 0, boot_id=boot)
-            for host, ledger in self._boots.items()
-            for boot in ledger.marks
-        ]
-        runs = [
-            DrainNotice(host, True, 0, incarnation=run)
-            for host, ledger in self._runs.items()
-            for run in ledger.marks
-        ]
-        return boots + runs
+    def _marks(self, now_s: float) -> list[DrainNotice]:
+        notices: list[DrainNotice] = []
+        for host in list(self._marked):
+            marks = [
+                DrainNotice(host, True, 0, boot_id=boot)
+                for boot in self.boot_marks(host, now_s)
+            ]
+            if host in self._runs:
+                marks += [
+                    DrainNotice(host, True, 0, incarnation=run)
+                    for run in self._runs[host].marks(now_s)
+                ]
+            if not marks:
+                self._marked.discard(host)
+            notices += marks
+        return notices
--- a/libs/membership/src/bilberryhitch_membership/membership.py
+++ b/libs/membership/src/bilberryhitch_membership/membership.py
@@ -203,7 +203,7 @@
 
     def _catch_up(self, heartbeat: Heartbeat) -> None:
         """Send a peer what its heartbeat shows it does not know."""
-        missing = self._leaving.missing_at(heartbeat)
+        missing = self._leaving.missing_at(heartbeat, self._time_s())
         if not missing or self._send is None:
             return
         # Successive heartbeats get successive parts of a long list.
@@ -232,7 +232,7 @@
             dict(vitals.usage),
             dict(vitals.free_slots),
             self._leaving.drains_revision,
-            self._leaving.digest(),
+            self._leaving.digest(self._time_s()),
         )
 
     async def _poll_drains(self) -> None:
@@ -275,16 +275,19 @@
 
     async def _keep_boot_rows(self) -> None:
         """Save what this process learned from the list; delete what is over."""
-        await self._boot_rows.save(self._leaving.boot_marks)
+        await self._boot_rows.save(self._boot_marks)
         reopened = [host for host in self._listed if self._is_reopened(host)]
         await self._boot_rows.delete(reopened)
 
     def _is_reopened(self, host: str) -> bool:
         """Whether this process deletes the row of a host with a newer boot."""
-        if self._leaving.boot_marks(host) or not self._boot_rows.has(host):
+        if not self._boot_rows.has(host) or self._boot_marks(host):
             return False
         me = self._identity
         return owner(host, self.entry_hosts(me.data_centre) or [me.host]) == me.host
 
+    def _boot_marks(self, host: str) -> tuple[str, ...]:
+        return self._leaving.boot_marks(host, self._time_s())
+
     def _time_s(self) -> float:
         return asyncio.get_running_loop().time()
--- a/libs/membership/src/bilberryhitch_membership/run_ledger.py
+++ b/libs/membership/src/bilberryhitch_membership/run_ledger.py
@@ -4,20 +4,23 @@
 
 
 class RunLedger:
-    """Runs of a host (boots, or incarnations of its process) in first-seen order.
+    """Runs of a host: boots, or incarnations of its process.
 
-    Run ids have no order of their own, and the sources lag: an older run may be
-    reported after a newer one. The newest run is therefore the one that was
-    seen first last, and closing a run closes every run seen before it.
+    Run ids have no order of their own, and sources lag: an older run may be
+    shown after a newer one. A run never shown before is taken for the newest,
+    and a known one only once the newest was not shown for ``silence_s``.
 
-    :param hold_s: how long a run that is not known to be leaving counts as
-        leaving after a run never seen here was closed. It may be the older of
-        the two, shown by a source that lags behind the closer's; 0 for no hold
+    :param silence_s: longest time for which a source may show an older run
+    :param hold_s: how long the newest run shown counts as leaving after a run
+        never shown here was closed, because the source may lag behind the
+        closer's; 0 for no hold
     """
 
-    def __init__(self, hold_s: float = 0.0) -> None:
+    def __init__(self, silence_s: float, hold_s: float = 0.0) -> None:
+        self._silence_s = silence_s
         self._hold_s = hold_s
         self._seen: list[str] = []
+        self._shown_s = 0.0
         self._closed: dict[str, None] = {}
         self._held_until_s = 0.0
 
@@ -26,23 +29,16 @@
         """The newest run, or ``None``."""
         return self._seen[-1] if self._seen else None
 
-    @property
-    def marks(self) -> tuple[str, ...]:
-        """Leaving runs that others should know; empty once a newer run is open."""
-        superseded = self.current not in self._closed and all(
-            run in self._seen for run in self._closed
-        )
-        return () if superseded else tuple(sorted(self._closed))
-
-    def observe(self, run: str) -> None:
-        """Note that a source shows ``run``."""
-        if run in self._seen:
-            return
-        self._seen.append(run)
-        del self._seen[:-MAX_RUNS]
-        self._held_until_s = 0.0
-        if run in self._closed:
-            self._close_seen_up_to(run)
+    def observe(self, run: str, now_s: float) -> None:
+        """Note that the source shows ``run``."""
+        if run != self.current:
+            if run in self._seen:
+                if now_s - self._shown_s < self._silence_s:
+                    return
+                self._seen.remove(run)
+            self._seen.append(run)
+            del self._seen[:-MAX_RUNS]
+        self._shown_s = now_s
 
     def close(self, run: str, now_s: float) -> bool:
         """Note that ``run`` is leaving.
@@ -51,22 +47,22 @@
         """
         if run in self._closed:
             return False
-        news = run not in self._seen or run == self.current
         self._closed[run] = None
-        if run in self._seen:
-            self._close_seen_up_to(run)
-        elif self._seen:
-            self._held_until_s = now_s + self._hold_s
-        while len(self._closed) > MAX_RUNS:
+        if len(self._closed) > MAX_RUNS:
             del self._closed[next(iter(self._closed))]
-        return news
+        if run not in self._seen:
+            self._held_until_s = now_s + self._hold_s
+            return True
+        return run == self.current
 
     def is_leaving(self, now_s: float) -> bool:
-        """Whether the newest run is leaving."""
-        if self.current is None:
+        """Whether the newest run is leaving, or may be."""
+        if self.current is None or self.current in self._closed:
             return bool(self._closed)
-        return self.current in self._closed or now_s < self._held_until_s
+        return now_s < self._held_until_s and any(
+            run not in self._seen for run in self._closed
+        )
 
-    def _close_seen_up_to(self, run: str) -> None:
-        for seen in self._seen[: self._seen.index(run) + 1]:
-            self._closed.setdefault(seen)
+    def marks(self, now_s: float) -> tuple[str, ...]:
+        """Return the leaving runs, unless the newest run is not leaving."""
+        return tuple(sorted(self._closed)) if self.is_leaving(now_s) else ()
--- a/tests/machines/mutants_point6_leaving.py
+++ b/tests/machines/mutants_point6_leaving.py
@@ -59,7 +59,7 @@
     def _apply_list(self, hosts):
         for host in hosts:
             if host.state == "live":
-                self._leaving._boots[host.name] = RunLedger()
+                self._leaving._boots.pop(host.name, None)
         super()._apply_list(hosts)
 
 
@@ -68,9 +68,7 @@
 
     def _apply_list(self, hosts):
         for host in hosts:
-            ledger = self._leaving._boots[host.name]
-            if ledger.current != host.boot_id:
-                self._leaving._boots[host.name] = RunLedger()
+            self._leaving._boots[host.name]._silence_s = 0.0
         super()._apply_list(hosts)
 
 
@@ -79,7 +77,7 @@
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
-        self._leaving._boots.default_factory = RunLedger
+        self._leaving._boots.default_factory = lambda: RunLedger(60.0)
 
 
 class LastNoticeWins(Membership):
--- a/tests/machines/world_point6_leaving.py
+++ b/tests/machines/world_point6_leaving.py
@@ -103,6 +103,8 @@
     def __init__(self, membership_type=Membership):
         self._type = membership_type
         self.loop = VirtualTimeLoop()
+        self.loop.set_exception_handler(self._keep_error)
+        self._errors = []
         self.oracle = LeavingOracle(ENTRIES)
         self.inner = WatchedTables(self.oracle)
         self.boots = {name: f"{name}-b1" for name in TARGETS}
@@ -215,7 +217,11 @@
             if self.time_s >= end_s - 1e-9:
                 return
 
+    def _keep_error(self, loop, context):
+        self._errors.append(context)
+
     def check(self):
+        assert not self._errors, self._errors
         for name in ENTRIES:
             if name in self.paused:
                 continue
@@ -334,7 +340,7 @@
         return True
 
     def _deliver(self, sender, receiver, message):
-        if frozenset((sender, receiver)) in self.cut:
+        if frozenset((sender, receiver)) in self.cut or receiver not in self.processes:
             return
         if receiver in self.paused:
             self._held.append((sender, receiver, message))
