--- a/tests/machines/request_machine.py
+++ b/tests/machines/request_machine.py
@@ -1,5 +1,6 @@
 """Rules that the machines of points 3, 4 and 5 share."""
 
+from bilberryhitch_requests.slots import rendezvous_owner
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -11,6 +12,7 @@
 from tests.machines.request_world import CENTRES, EXECUTORS, World
 
 HOSTS = st.sampled_from(sorted(CENTRES))
+OWNER = rendezvous_owner("x1", ["e1", "e2", "e3"])
 PAIRS = st.sampled_from([("e1", "e2"), ("e2", "e3"), ("e1", "e3"), ("e1", "s1")])
 EXECUTOR_FAULTS = st.sampled_from(
     ["refuse", "drop_before", "drop_after", "slow", "late", "crossed"]
@@ -82,6 +84,25 @@
         self.world.hosts[host].stop(for_good=True)
         self.world.start(host)
 
+    @rule(
+        kind=LINK_FAULTS,
+        host=st.sampled_from(sorted({"e1", "e2", "e3"} - {OWNER})),
+        then=st.sampled_from(["replace owner", "load owner", "wait"]),
+    )
+    def forward_over_broken_link(self, kind, host, then):
+        """Aim a link fault at a forward; unrelated rules seldom meet in time."""
+        self.fault()
+        self.world.link_faults.append(kind)
+        self.world.submit(host, "once")
+        self.world.advance(0.1)
+        if then == "load owner":  # a delayed forward then waits past its time-out
+            self.world.advance(1.4)
+            for _ in range(4):
+                self.world.submit(OWNER, "once")
+        if then == "replace owner":
+            self.world.hosts[OWNER].stop(for_good=True)
+            self.world.start(OWNER)
+
     @rule(host=HOSTS, seconds=st.sampled_from([0.2, 2.5]))
     def pause(self, host, seconds):
         self.fault()
--- /dev/null
+++ b/tests/machines/test_point5_requests.py
@@ -0,0 +1,74 @@
+import pytest
+from bilberryhitch_requests import keyed, outcomes, running
+from expression import Ok
+
+from tests.machines.harness import Counts, Point, run_point
+from tests.machines.oracle_point5_requests import check_point5
+from tests.machines.request_machine import RequestMachine, search_violation
+
+
+class Machine(RequestMachine):
+    counts = Counts()
+    oracle = staticmethod(check_point5)
+
+
+POINT = Point(5, Machine, Machine.counts)
+
+
+def test_point_holds():
+    # Guards against a second run through retries, other hosts or lost answers.
+    run_point(POINT, seed_number=1, histories=50)
+    assert POINT.counts.faults > 0
+
+
+async def claim_nothing(self, call, handle):
+    return Ok(keyed.Claim("none", call.client_account, handle, 1))
+
+
+async def run_unclaimed(self, call, route, record, *run_and_error):
+    run, _ = run_and_error
+    record.finish(await run())
+
+
+def grant_every_copy(self, forward, run, host):
+    self.run = run
+    return True
+
+
+async def retry_every_route(self, call, route, record):
+    return await RUN(self, call, route._replace(idempotent=True), record)
+
+
+RUN = running.RequestRunner.run
+
+REMOVED = {
+    "claim before dispatch": (keyed.Claims, "claim", claim_nothing),
+    "no claim, no run": (keyed.KeyedRequests, "_serve_unclaimed", run_unclaimed),
+    "a forward is granted once": (
+        outcomes.RequestRecord,
+        "grant_forward",
+        grant_every_copy,
+    ),
+    "only idempotent routes are retried": (
+        running.RequestRunner,
+        "run",
+        retry_every_route,
+    ),
+}
+
+
+@pytest.mark.parametrize("mechanism", REMOVED)
+def test_removed_mechanism_is_noticed(monkeypatch, mechanism):
+    # Guards against a machine that cannot see the violation.
+    monkeypatch.setattr(*REMOVED[mechanism])
+    with pytest.raises(AssertionError):
+        search_violation(Machine, seed_number=1, histories=200)
+
+
+def test_oracle_rejects_a_second_run():
+    call = {"event": "submitted", "body": b"a", "once": True}
+    ran = {"event": "ran", "body": b"a"}
+    check_point5([call, ran])
+    check_point5([{**call, "once": False}, ran, ran])
+    with pytest.raises(AssertionError):
+        check_point5([call, call, ran, ran])
