--- a/libs/requests/src/bilberryhitch_requests/forwarded.py
+++ b/libs/requests/src/bilberryhitch_requests/forwarded.py
@@ -12,6 +12,9 @@
 from .slots import Lease
 from .waiting import Refusal, Ticket, WaitingRequests
 
+# Half of what the peer link handles at once, so that forwards which wait for a
+# slot leave room for grants, heartbeats and notices.
+MAX_FORWARDED = 512
 _REFUSED = Outcome("not_run", detail="refused by the executor")
 
 
@@ -33,6 +36,7 @@
         self._dispatcher = dispatcher
         self._copies = copies
         self._new_id = new_id
+        self._serving = 0
 
     async def serve(
         self,
@@ -44,11 +48,15 @@
         """Return the outcome of a forwarded request, under the id of its run."""
         forward = message.handle
         copy = self._copies.get(forward)
+        if copy is None and self._serving >= MAX_FORWARDED:
+            return ForwardReply(forward, Outcome("not_run", detail="too many forwards"))
         if copy is None:
             copy = self._copies.open(forward, message.call.client_account)
+            self._serving += 1
             try:
                 copy.finish(await self._run(sender, message, route, waiting, copy))
             finally:
+                self._serving -= 1
                 copy.close("internal failure")
         await copy.done.wait()
         return ForwardReply(copy.run or forward, copy.answer())
--- a/libs/requests/src/bilberryhitch_requests/running.py
+++ b/libs/requests/src/bilberryhitch_requests/running.py
@@ -10,6 +10,7 @@
 from .forwarding import Failed, Forwarder, PeerSlots
 from .outcomes import RequestRecord
 from .ports import ConfigView
+from .reporting import report_retry
 from .retries import RetryBudgets
 from .slots import Lease
 from .waiting import PeerTarget, Refusal, Target, Ticket, WaitingRequests
@@ -62,6 +63,7 @@
             failures += 1
             if not route.idempotent or not self._budgets.take(call.client_account):
                 break
+            report_retry(call, route, record.handle)
             await asyncio.sleep(self._budgets.delay_s(failures))
         return record.without_answer("no answer")
 
--- a/libs/requests/src/bilberryhitch_requests/service.py
+++ b/libs/requests/src/bilberryhitch_requests/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from bilberryhitch_membership import owner as rendezvous_owner
 from bilberryhitch_model import Host, Identity, Outcome, Pool, RequestCall, Route
 from bilberryhitch_model.errors import BadInput, NotFound, StoreError
 from bilberryhitch_peers import (
@@ -27,8 +28,9 @@
 from .keyed import KeyedRequests
 from .outcomes import MAX_RECORDS, Outcomes, RequestRecord
 from .ports import ConfigView, MembershipView, PeerCalls
+from .reporting import report_outcome
 from .running import RequestRunner
-from .slots import SLOTS_PER_EXECUTOR, ExecutorSlots, Owner, rendezvous_owner
+from .slots import SLOTS_PER_EXECUTOR, ExecutorSlots, Owner
 from .waiting import WaitingRequests
 
 TICK_S = 0.25
@@ -124,6 +126,13 @@
         :raises NotFound: the account has no such request route
         """
         route = self._route(call)
+        started_s = asyncio.get_running_loop().time()
+        outcome = await self._submit(call, route)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        report_outcome(call, outcome, elapsed_s)
+        return outcome
+
+    async def _submit(self, call: RequestCall, route: Route) -> Outcome:
         if self._closing:
             return Outcome("not_run", detail="shutting down", retry_after_s=1.0)
         handle = make_handle(self._identity, self._new_id(), keyed=bool(call.key))
--- a/libs/requests/src/bilberryhitch_requests/slots.py
+++ b/libs/requests/src/bilberryhitch_requests/slots.py
@@ -1,10 +1,10 @@
 """Slots of the executors that this entry host owns."""
 
 import asyncio
-import hashlib
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
 
+from bilberryhitch_membership import owner as rendezvous_owner
 from bilberryhitch_model import Host, Identity, Pool
 
 from .ports import ConfigView, MembershipView
@@ -18,20 +18,6 @@
 Owner = Callable[[str, Sequence[str]], str]
 
 
-def rendezvous_owner(key: str, hosts: Sequence[str]) -> str:
-    """Return the host with the highest hash of host and key.
-
-    Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
-    1998.
-    """
-    return max(
-        hosts,
-        key=lambda host: hashlib.blake2b(
-            f"{host}/{key}".encode(), digest_size=8
-        ).digest(),
-    )
-
-
 class _Executor:
     """What this host knows of one executor."""
 
--- a/tests/machines/request_machine.py
+++ b/tests/machines/request_machine.py
@@ -1,6 +1,6 @@
 """Rules that the machines of points 3, 4 and 5 share."""
 
-from bilberryhitch_requests.slots import rendezvous_owner
+from bilberryhitch_membership import owner
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -12,7 +12,7 @@
 from tests.machines.request_world import CENTRES, EXECUTORS, World
 
 HOSTS = st.sampled_from(sorted(CENTRES))
-OWNER = rendezvous_owner("x1", ["e1", "e2", "e3"])
+OWNER = owner("x1", ["e1", "e2", "e3"])
 PAIRS = st.sampled_from([("e1", "e2"), ("e2", "e3"), ("e1", "e3"), ("e1", "s1")])
 EXECUTOR_FAULTS = st.sampled_from(
     ["refuse", "drop_before", "drop_after", "slow", "late", "crossed"]
