Release a withdrawn request's slot only once its waiter is gone

Cause: the wait limit of a forwarded request could fire between the grant of a slot and the waiter's next step; the slot was released and then still used, one request above the owner's count. Ruled out: a double release; a lease counts once. After: withdraw leaves a ticket whose turn has come alone, and a cancelled waiter gives its slot back. Conclusion: whoever receives a lease releases it.

--- a/libs/requests/src/bilberryhitch_requests/waiting.py
+++ b/libs/requests/src/bilberryhitch_requests/waiting.py
@@ -103,7 +103,8 @@
     async def wait(self, ticket: Ticket) -> Target:
         """Wait for the request's turn.
 
-        Cancellation or :meth:`withdraw` takes the request out.
+        Cancellation or :meth:`withdraw` takes the request out. Whoever gets a
+        lease must release it.
         """
         place = ticket.place
         account = place.client_account
@@ -123,6 +124,7 @@
             return await ticket.target
         except asyncio.CancelledError:
             self.withdraw(ticket, "caller left")
+            self._give_back(ticket)
             raise
         finally:
             self._present[account] -= 1
@@ -130,12 +132,14 @@
                 del self._present[account]
 
     def withdraw(self, ticket: Ticket, reason: str) -> None:
-        """Take a request out; a slot that it was just given is released."""
+        """Take a request out, unless its turn has come already."""
         if ticket.entry is not None:
             self._queue.remove(ticket.entry)
         if not ticket.target.done():
             ticket.target.set_result(Refusal(reason))
-            return
+
+    def _give_back(self, ticket: Ticket) -> None:
+        """Return the slot of a request that is no longer there to use it."""
         if ticket.target.cancelled():
             return
         target = ticket.target.result()
