--- a/libs/scheduling/src/bilberryhitch_scheduling/guarantees.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/guarantees.py
@@ -119,14 +119,18 @@
         """Return all bound cells."""
         return list(self._at.values())
 
+    def unbound(self, key: GuaranteeKey) -> int:
+        """Return how many cells of a guarantee are not bound."""
+        return max(0, self._counts.get(key, 0) - len(self._bound.get(key, ())))
+
     def can_bind(self, key: GuaranteeKey) -> bool:
         """Return whether the guarantee has an unbound cell that is kept."""
-        if self._unbound(key) == 0:
+        if self.unbound(key) == 0:
             return False
         for index, need in enumerate(self._needs):
             if need.size == key.accelerators:
                 missing = self._missing_of(need, self.shortage()[index])
-                return self._unbound(key) > missing.get(key, 0)
+                return self.unbound(key) > missing.get(key, 0)
         return False
 
     def bind(self, key: GuaranteeKey, cell: int) -> BoundCell:
@@ -177,7 +181,7 @@
         used: dict[int, int] = {}
         found = []
         for need in self._needs:
-            wanted = sum(self._unbound(key) for key in need.rows)
+            wanted = sum(self.unbound(key) for key in need.rows)
             for kind in need.kinds:
                 if not wanted:
                     break
@@ -197,15 +201,12 @@
         for key in reversed(need.rows):
             if not short:
                 break
-            given = min(short, self._unbound(key))
+            given = min(short, self.unbound(key))
             short -= given
             if given:
                 missing[key] = given
         return missing
 
-    def _unbound(self, key: GuaranteeKey) -> int:
-        return max(0, self._counts.get(key, 0) - len(self._bound.get(key, ())))
-
     def _range(self, cell: int) -> range:
         start = self._tree.cells[cell].start
         return range(start, start + self._tree.cells[cell].size)
--- a/libs/scheduling/src/bilberryhitch_scheduling/lifecycle.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/lifecycle.py
@@ -92,6 +92,18 @@
         job.ran = True
         return Start(job.job_id, job.placement, not job.firm)
 
+    def settle(self) -> None:
+        """Bind the cells of adopted jobs, and count them as guaranteed."""
+        if not self.starter.unsettled:
+            return
+        jobs = list(self.starter.unsettled)
+        for job in jobs:
+            self.shares.count_use(job, -1)
+        self.starter.settle()
+        for job in jobs:
+            self.shares.count_use(job, 1)
+            self.queue.refresh(job.queued.client_account)
+
     def release(self, job: Job, now: float) -> None:
         """Take a job's place back and wake those that wait for it."""
         self.shares.count_use(job, -1)
--- a/libs/scheduling/src/bilberryhitch_scheduling/scheduler.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/scheduler.py
@@ -100,7 +100,7 @@
         A job that needs evictions is started by a later call, once they all were
         reported; until then its place is kept.
         """
-        self._life.requeue_broken()
+        self._life.settle()
         decisions: list[Decision] = [
             self._life.start(job, now)
             for job in list(self._life.clearing.values())
@@ -214,10 +214,12 @@
 
     def shortfall(self) -> list[GuaranteeShortfall]:
         """Return the guaranteed cells that cannot be held at present."""
+        self._life.settle()
         return self._starter.guarantees.shortfall(self._data_centre)
 
     def bound_cells(self) -> list[BoundRow]:
         """Return where guarantees are bound, with their jobs."""
+        self._life.settle()
         return bound_rows(self._fleet, self._starter.guarantees)
 
     def _build(self) -> None:
@@ -289,6 +291,8 @@
         if self._roster.mark(host, reason, value):
             self._life.freed = True
             self._fleet.set_unusable(host, reason, value)
+        if value:
+            self._life.requeue_broken()
 
     def _size(self, job: QueuedJob) -> float:
         """Return the accelerators a job stands for when it is charged."""
--- a/libs/scheduling/src/bilberryhitch_scheduling/starting.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/starting.py
@@ -1,6 +1,6 @@
 """By which right a job starts: its guarantee, spare capacity, or borrowed cells."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from itertools import chain
 
@@ -41,6 +41,7 @@
         self.borrowing = True
         self._displace_job = displace
         self._estimates = estimates
+        self._unsettled: dict[str, Job] = {}
         self._failed: set[tuple[str, Shape]] = set()
 
     def forget_failures(self) -> None:
@@ -62,6 +63,11 @@
             return self._on_spare(job, may_preempt, now)
         return self._borrow(job, may_preempt, now)
 
+    @property
+    def unsettled(self) -> list[Job]:
+        """Adopted jobs whose guaranteed cell is not bound yet."""
+        return list(self._unsettled.values())
+
     def must_be_firm(self, job: Job) -> bool:
         """Return whether a job may not run where it can be evicted."""
         return not (job.queued.may_borrow and self.borrowing)
@@ -76,6 +82,8 @@
 
     def fits(self, job: Job, key: GuaranteeKey) -> bool:
         """Return whether a job fits into one cell of a guarantee."""
+        if job.shape.tasks * max(1, job.shape.accelerators) > key.accelerators:
+            return False  # the place of a cell may be larger than the guarantee
         capacity = self.fleet.tree.capacity(job.shape)
         kinds = self.guarantees.kinds(key)
         return any(capacity[kind] >= job.shape.tasks for kind in kinds)
@@ -84,6 +92,7 @@
         """Take back what a job holds; its cell is released after its last job."""
         cell = job.cell
         job.cell = None
+        self._unsettled.pop(job.job_id, None)
         self.fleet.remove(job)
         if cell is not None:
             del cell.jobs[job.job_id]
@@ -95,8 +104,20 @@
         self._estimate(job)
         job.firm = not borrowed
         known = tuple(m for m in members if m.host in self.fleet.hosts)
-        bound = self._cell_around(job, known) if job.firm else None
-        self._assign(job, list(known), bound)
+        self._assign(job, list(known), None)
+        if job.firm:
+            self._unsettled[job.job_id] = job
+
+    def settle(self) -> None:
+        """Bind the cells in which adopted jobs run.
+
+        This waits until all running jobs were adopted: a cell that looks unused
+        before may hold another account's job.
+        """
+        unsettled, self._unsettled = self._unsettled, {}
+        for job in unsettled.values():
+            if job.cell is None and job.members:
+                self._settle(job)
 
     def _estimate(self, job: Job) -> None:
         row = job.queued
@@ -109,10 +130,9 @@
     ) -> dict[str, None]:
         self._displace(members)
         found = victims(self.fleet, members, job.shape)
-        job.cell = bound
-        job.guaranteed = bound is not None
+        job.guaranteed = False
         if bound is not None:
-            bound.jobs[job.job_id] = None
+            self._enter(job, bound)
         self.fleet.place(job, members)
         return found
 
@@ -137,7 +157,7 @@
             job.firm = True
             for bound in self.guarantees.usable(key):
                 members = fill_evicting(self.fleet, bound.cell, job.shape)
-                if members is not None:
+                if members is not None and self._within(bound, members):
                     return self._assign(job, members, bound)
             found = self._bind(job, key, now)
             if found is not None:
@@ -159,11 +179,18 @@
                     continue
                 bound = self.guarantees.bind(key, cell)
                 members = fill_evicting(self.fleet, cell, job.shape)
-                if members is not None and self._holds(before):
+                within = members is not None and self._within(bound, members)
+                if members is not None and within and self._holds(before):
                     return self._assign(job, members, bound)
                 self.guarantees.unbind(bound)
         return None
 
+    def _within(self, bound: BoundCell, members: list[Member]) -> bool:
+        """Return whether the account stays within the size of its cell."""
+        used = sum(self.fleet.jobs[job_id].occupied for job_id in bound.jobs)
+        used += sum(len(member.accelerators) for member in members)
+        return used <= bound.key.accelerators
+
     def _whole_groups(self, shape: Shape) -> Iterator[list[int]]:
         clear = self.fleet.clear
         for group in search(self.fleet.tree, clear, shape):
@@ -241,31 +268,54 @@
     def _admits(self, reservation: Reservation, job: Job, now: float) -> bool:
         return self.reservations.admits(reservation, now, job.expected_p90_s)
 
-    def _cell_around(self, job: Job, members: tuple[Member, ...]) -> BoundCell | None:
-        """Find or bind the guaranteed cell that an adopted job runs in."""
-        taken = [a for member in members for a in self.fleet.accelerators(member)]
-        if not taken:
-            return None
+    def _settle(self, job: Job) -> None:
         tree = self.fleet.tree
+        taken = [a for m in job.members for a in self.fleet.accelerators(m)]
+        if not taken:
+            return
         for key in self.guarantees.keys(job.queued.client_account):
+            kinds = self.guarantees.kinds(key)
             cell = tree.leaves[min(taken)]
             while cell >= 0:
                 row = tree.cells[cell]
-                if max(taken) < row.start + row.size:
-                    bound = self.guarantees.bound_at(cell)
-                    if bound is not None and bound.key == key:
-                        return bound
-                    if row.kind in self.guarantees.kinds(key) and bound is None:
-                        return self._bind_adopted(key, cell)
+                around = max(taken) < row.start + row.size
+                if around and row.kind in kinds and self._bind_around(key, cell):
+                    return
                 cell = row.parent
-        return None
 
-    def _bind_adopted(self, key: GuaranteeKey, cell: int) -> BoundCell | None:
-        if self.fleet.clear.taken[cell] or not self.guarantees.can_bind(key):
-            return None
+    def _bind_around(self, key: GuaranteeKey, cell: int) -> bool:
+        """Bind a cell whose unevictable jobs all belong to the account."""
+        row = self.fleet.tree.cells[cell]
+        jobs: dict[str, Job] = {}
+        for accelerator in range(row.start, row.start + row.size):
+            if not self.fleet.clear.is_taken(accelerator):
+                continue
+            job = self.fleet.jobs.get(self.fleet.owner[accelerator] or "")
+            ours = job is not None and job.queued.client_account == key.client_account
+            if job is None or not ours or not job.firm or job.cell is not None:
+                return False
+            jobs[job.job_id] = job
+        if not self._spans(cell, jobs.values()) or not self.guarantees.unbound(key):
+            return False
         before = self.guarantees.shortage()
         bound = self.guarantees.bind(key, cell)
-        if self._holds(before):
-            return bound
-        self.guarantees.unbind(bound)
-        return None
+        if not self._holds(before):
+            self.guarantees.unbind(bound)
+            return False
+        for job in jobs.values():
+            self._enter(job, bound)
+        return True
+
+    def _spans(self, cell: int, jobs: Iterable[Job]) -> bool:
+        row = self.fleet.tree.cells[cell]
+        return all(
+            row.start <= accelerator < row.start + row.size
+            for job in jobs
+            for member in job.members
+            for accelerator in self.fleet.accelerators(member)
+        )
+
+    def _enter(self, job: Job, bound: BoundCell) -> None:
+        job.cell = bound
+        job.guaranteed = True
+        bound.jobs[job.job_id] = None
