--- a/tests/machines/oracle_point1_reclaim.py
+++ b/tests/machines/oracle_point1_reclaim.py
@@ -67,6 +67,21 @@
                     assert used <= cell, f"{job_id} leaves its cell"
                     assert job_id in jobs, f"{job_id} is not counted in its cell"
 
+    def check_grown(self, before, after):
+        """Only as many cells take new jobs as the guarantee has cells."""
+        old = {job_id for row in before for job_id in row[3]}
+        grown = {}
+        for account, size, _, jobs in after:
+            used = [self.running[j][2] for j in jobs if j in self.running]
+            assert sum(map(len, used)) <= size, f"{account} uses more than its cell"
+            if set(jobs) - old:
+                grown[account, size] = grown.get((account, size), 0) + 1
+        counts = {}
+        for account, size, count in self.rows:
+            counts[account, size] = counts.get((account, size), 0) + count
+        for key, count in grown.items():
+            assert count <= counts.get(key, 0), f"{key} grew beyond its guarantee"
+
     def missing(self, bound):
         """Return the unbound cells that cannot be kept, by (account, size).
 
--- a/tests/machines/test_point1_reclaim.py
+++ b/tests/machines/test_point1_reclaim.py
@@ -1,6 +1,7 @@
 """Point 1: a guaranteed shape can always be reclaimed from borrowers."""
 
 import hypothesis.strategies as st
+import pytest
 from bilberryhitch_model import (
     Evict,
     Guarantee,
@@ -10,19 +11,24 @@
     Shape,
     Start,
 )
-from bilberryhitch_scheduling import PoolScheduler
+from bilberryhitch_scheduling import PoolScheduler, clearing, starting
+from bilberryhitch_scheduling.fleet import Fleet
+from bilberryhitch_scheduling.guarantees import Guarantees
+from bilberryhitch_scheduling.starting import Starter
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     precondition,
     rule,
+    run_state_machine_as_test,
 )
 
-from .harness import Counts, Point, run_point
+from .harness import STEPS_PER_HISTORY, Counts, Point, run_point
 from .oracle_point1_reclaim import ReclaimOracle
 
-HISTORIES = 30
+HISTORIES = 150
 ACCOUNTS = ("a", "b", "c")
 # Racks as accelerators per worker; sizes as guarantees may ask for in each fleet.
 FLEETS = (
@@ -105,10 +111,6 @@
         found = self.scheduler.shortfall()
         return {(row.client_account, row.accelerators): row.missing for row in found}
 
-    def new_id(self):
-        self.submitted += 1
-        return f"j{self.submitted}"
-
     def stage(self, job_id):
         return self.scheduler.explain(job_id).state
 
@@ -122,29 +124,41 @@
     )
     def submit(self, *, account, tasks, per_task, may_borrow, urgent, cores):
         shape = Shape(tasks, per_task, min(cores, 4 * per_task), 1)
+        urgency = "urgent" if urgent else "normal"
+        self.queue(account, shape, may_borrow=may_borrow, urgency=urgency)
+
+    @precondition(lambda self: self.pool.guarantees)
+    @rule(data=st.data(), whole=st.booleans(), count=st.integers(1, 3))
+    def submit_within_guarantee(self, data, whole, count):
+        row = data.draw(st.sampled_from(self.pool.guarantees))
+        shape = Shape(row.accelerators if whole else 1, 1, 1, 1)
+        for _ in range(count):
+            self.queue(row.client_account, shape)
+        self.decide(0.0)
+
+    @rule(cores=st.integers(1, 8), account=st.sampled_from(ACCOUNTS))
+    def submit_without_accelerators(self, cores, account):
+        self.queue(account, Shape(2, 0, cores))
+
+    def queue(self, account, shape, **options):
+        self.submitted += 1
+        declared_s = 5.0 * shape.tasks
         row = QueuedJob(
-            self.new_id(),
+            f"j{self.submitted}",
             account,
             "render",
             "caller",
             shape,
-            urgency="urgent" if urgent else "normal",
-            may_borrow=may_borrow,
-            declared_s=float(5 * tasks),
+            declared_s=declared_s,
+            **options,
         )
         if self.scheduler.submit(row, self.now).is_ok():
             self.jobs[row.job_id] = row
 
-    @rule(cores=st.integers(1, 8), account=st.sampled_from(ACCOUNTS))
-    def submit_without_accelerators(self, cores, account):
-        row = QueuedJob(self.new_id(), account, "check", "c", Shape(2, 0, cores))
-        if self.scheduler.submit(row, self.now).is_ok():
-            self.jobs[row.job_id] = row
-
     @rule(gap=st.sampled_from((0.0, 1.0, 100.0)))
     def decide(self, gap):
         self.now += gap
-        before = self.missing()
+        before, bound = self.missing(), self.bound()
         due = self.clearing_due()
         decisions = self.scheduler.decide(self.now)
         for decision in decisions:
@@ -154,6 +168,7 @@
             assert count <= before.get(key, 0), f"{key} lost a cell to a decision"
         for job_id in due:
             assert self.stage(job_id) != "clearing", f"{job_id} waits a second time"
+        self.oracle.check_grown(bound, self.bound())
         self.check_started()
         self.note_clearing()
 
@@ -297,7 +312,21 @@
 
     @rule(data=st.data(), borrowing=st.booleans())
     def set_pool(self, data, borrowing):
-        rows = self.draw_guarantees(data)
+        self.adopt_pool(self.draw_guarantees(data), borrowing)
+
+    @precondition(lambda self: self.pool.guarantees)
+    @rule(data=st.data(), to=st.sampled_from(ACCOUNTS), cells=st.integers(0, 2))
+    def change_guarantee(self, data, to, cells):
+        """Shrink or grow a guarantee, and move one to another account."""
+        rows = list(self.pool.guarantees)
+        index = data.draw(st.integers(0, len(rows) - 1))
+        if cells:
+            rows[index] = rows[index]._replace(client_account=to, cells=cells)
+        else:
+            del rows[index]
+        self.adopt_pool(tuple(rows), self.pool.borrowing)
+
+    def adopt_pool(self, rows, borrowing):
         self.pool = self.pool._replace(guarantees=rows, borrowing=borrowing)
         self.scheduler.set_pool(self.pool)
         self.oracle.rows = self.rows()
@@ -307,6 +336,7 @@
     def take_over(self):
         """A new planner knows the job rows and the hosts, not the evictions."""
         placed = {job_id: self.placed[job_id] for job_id in self.running()}
+        before = sum(self.missing().values())
         self.scheduler = self.make_scheduler()
         for name in sorted(self.lost):
             self.scheduler.host_lost(name)
@@ -319,7 +349,8 @@
             elif self.scheduler.submit(row, self.now).is_error():
                 del self.jobs[job_id]
         self.clearing = {}
-        self.oracle.evicting.clear()
+        after = sum(self.missing().values())
+        assert after <= before, "a takeover lost guaranteed cells"
 
     def update_unusable(self):
         names = self.lost | self.quarantined
@@ -342,8 +373,120 @@
         assert told == true, f"shortfall told {told}, true {true}"
 
 
+def run_without_shrinking(histories):
+    """Find a violation; how short its history is does not matter here."""
+    options = settings(
+        max_examples=histories,
+        stateful_step_count=STEPS_PER_HISTORY,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    seed(1)(ReclaimMachine)
+    run_state_machine_as_test(ReclaimMachine, settings=options)
+
+
 POINT = Point(1, ReclaimMachine, ReclaimMachine.counts)
 
 
 def test_point_holds():
     run_point(POINT, seed_number=1, histories=HISTORIES)
+
+
+def first_rows_give_up(self, need, short):
+    missing = {}
+    for key in need.rows:
+        given = min(short, self.unbound(key))
+        short -= given
+        if given:
+            missing[key] = given
+    return missing
+
+
+WITHOUT = {
+    "check of firm work beside guarantees": (
+        Starter,
+        "keeps_guarantees",
+        lambda self, members: True,
+    ),
+    "waiting for evictions": (starting, "victims", lambda *args: {}),
+    "protection of guaranteed work": (
+        clearing,
+        "_clearable",
+        lambda fleet, accelerator, may_evict: fleet.claim[accelerator] is None,
+    ),
+    "refusal to lend to firm work": (Starter, "must_be_firm", lambda self, job: False),
+    "exclusion of lost hosts": (Fleet, "set_unusable", lambda self, *args: None),
+    "table order of the reduction": (Guarantees, "_missing_of", first_rows_give_up),
+    "binding at takeover": (Starter, "settle", lambda self: self._unsettled.clear()),
+    "end of a shrunk guarantee": (
+        Guarantees,
+        "usable",
+        lambda self, key: self._bound.get(key, []),
+    ),
+    "size of a guarantee": (Starter, "_within", lambda *args: True),
+    "check of bindings": (Starter, "_holds", lambda self, before: True),
+    "reclaim": (Starter, "_bind", lambda self, job, key, now: None),
+}
+
+
+@pytest.mark.parametrize("mechanism", WITHOUT)
+def test_removed_mechanism_is_noticed(mechanism, monkeypatch):
+    """Guards against a machine that passes whatever the scheduler does."""
+    monkeypatch.setattr(*WITHOUT[mechanism])
+    with pytest.raises(AssertionError):
+        run_without_shrinking(histories=200)
+
+
+def oracle(*rows):
+    found = ReclaimOracle([(f"w{n}", "r", n, 2) for n in range(4)])
+    found.rows = list(rows)
+    return found
+
+
+def begin(found, job_id, account, *places, borrowed=False, per_task=1):
+    shape = (len(places) // per_task, per_task)
+    options = {"borrowed": borrowed, "may_borrow": borrowed}
+    found.start(job_id, account, shape=shape, accelerators=places, **options)
+
+
+def test_oracle_rejects_an_accelerator_given_twice():
+    found = oracle()
+    begin(found, "j1", "a", ("w0", 0))
+    with pytest.raises(AssertionError, match="accelerators of j1"):
+        begin(found, "j2", "b", ("w0", 0))
+
+
+def test_oracle_rejects_a_gang_across_aligned_cells():
+    found = oracle()
+    with pytest.raises(AssertionError, match="not adjacent"):
+        begin(found, "j1", "a", ("w0", 1), ("w1", 0), per_task=1)
+
+
+def test_oracle_rejects_the_eviction_of_guaranteed_work():
+    found = oracle(("a", 2, 1))
+    begin(found, "j1", "a", ("w0", 0))
+    with pytest.raises(AssertionError, match="did not borrow"):
+        found.evict("j1")
+
+
+def test_oracle_counts_a_guarantee_that_firm_work_made_impossible():
+    found = oracle(("a", 8, 1), ("b", 2, 1))
+    begin(found, "j1", "c", ("w0", 0))
+    assert found.missing([]) == {("a", 8): 1}
+
+
+def test_oracle_rejects_foreign_work_in_a_bound_cell():
+    found = oracle(("a", 2, 1))
+    begin(found, "j1", "b", ("w0", 0))
+    with pytest.raises(AssertionError, match="holds a cell"):
+        found.check_bound([("a", 2, [("w0", 0), ("w0", 1)], ["j2"])])
+
+
+def test_oracle_rejects_new_work_in_a_cell_that_was_taken_away():
+    found = oracle()
+    cell = [("w0", 0), ("w0", 1)]
+    with pytest.raises(AssertionError, match="grew"):
+        found.check_grown([("a", 2, cell, ["j1"])], [("a", 2, cell, ["j1", "j2"])])
