--- a/libs/model/src/bilberryhitch_model/work.py
+++ b/libs/model/src/bilberryhitch_model/work.py
@@ -67,6 +67,7 @@
     :param status: outcome once ``state`` is ``finished``
     :param saved: object store key of the last checkpoint
     :param cancel: whether a caller asked to cancel
+    :param cell: ``Placement.cell`` of the start, for a planner that takes over
     """
 
     job_id: str
@@ -95,6 +96,7 @@
     saved: str = ""
     started_at: float = 0.0
     finished_at: float = 0.0
+    cell: int | None = None
 
 
 class QueuedJob(NamedTuple):
@@ -117,9 +119,14 @@
 
 
 class Placement(NamedTuple):
-    """Where each part of a gang goes."""
+    """Where each part of a gang goes.
+
+    :param cell: accelerators of the guaranteed cell it lies in, 0 outside any,
+        ``None`` when not known
+    """
 
     members: tuple[Member, ...]
+    cell: int | None = None
 
 
 class Start(NamedTuple):
--- a/libs/scheduling/src/bilberryhitch_scheduling/jobs.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/jobs.py
@@ -77,7 +77,8 @@
     @property
     def placement(self) -> Placement:
         """Where it runs or will run."""
-        return Placement(self.members)
+        size = self.cell.key.accelerators if self.cell is not None else 0
+        return Placement(self.members, size)
 
     @property
     def occupied(self) -> int:
--- a/libs/scheduling/src/bilberryhitch_scheduling/lifecycle.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/lifecycle.py
@@ -94,15 +94,10 @@
 
     def settle(self) -> None:
         """Bind the cells of adopted jobs, and count them as guaranteed."""
-        if not self.starter.unsettled:
-            return
-        jobs = list(self.starter.unsettled)
-        for job in jobs:
-            self.shares.count_use(job, -1)
-        self.starter.settle()
-        for job in jobs:
-            self.shares.count_use(job, 1)
-            self.queue.refresh(job.queued.client_account)
+        for job in self.starter.settle():
+            if job.cell is not None:
+                self.shares.count_entry(job)
+                self.queue.refresh(job.queued.client_account)
 
     def release(self, job: Job, now: float) -> None:
         """Take a job's place back and wake those that wait for it."""
--- a/libs/scheduling/src/bilberryhitch_scheduling/scheduler.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/scheduler.py
@@ -126,7 +126,7 @@
             return
         record = self._life.jobs[job.job_id] = Job(job, self._size(job))
         self._life.shares.count_job(job.client_account, 1)
-        self._starter.adopt(record, placement.members, borrowed)
+        self._starter.adopt(record, placement, borrowed)
         record.stage = "running"
         record.ran = True
         record.started_at = now
@@ -254,8 +254,9 @@
             self._life.shares.count_use(job, -1)
         self._build()
         for job in placed:
+            placement = job.placement
             job.cell = None
-            self._starter.adopt(job, job.members, not job.firm)
+            self._starter.adopt(job, placement, not job.firm)
             self._life.shares.count_use(job, 1)
         self._life.freed = True
 
--- a/libs/scheduling/src/bilberryhitch_scheduling/shares.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/shares.py
@@ -52,6 +52,13 @@
         elif job.urgent:
             _add(self.urgent_use, account, step * job.occupied)
 
+    def count_entry(self, job: Job) -> None:
+        """Move the use of a counted job into its account's guarantee."""
+        account = job.queued.client_account
+        _add(self.guaranteed_use, account, job.occupied)
+        if job.urgent:
+            _add(self.urgent_use, account, -job.occupied)
+
     def allows_urgent(self, client_account: str, size: float, total: int) -> bool:
         """Return whether urgent work of a size is within the account's share.
 
--- a/libs/scheduling/src/bilberryhitch_scheduling/starting.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/starting.py
@@ -1,11 +1,12 @@
 """By which right a job starts: its guarantee, spare capacity, or borrowed cells."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import chain
 
-from bilberryhitch_model import Member, Shape
+from bilberryhitch_model import Member, Placement, Shape
 
+from .adoption import Adoption, enter
 from .clearing import (
     evicted_work,
     fill_evicting,
@@ -41,7 +42,7 @@
         self.borrowing = True
         self._displace_job = displace
         self._estimates = estimates
-        self._unsettled: dict[str, Job] = {}
+        self._adoption = Adoption(fleet, guarantees)
         self._failed: set[tuple[str, Shape]] = set()
 
     def forget_failures(self) -> None:
@@ -63,10 +64,19 @@
             return self._on_spare(job, may_preempt, now)
         return self._borrow(job, may_preempt, now)
 
-    @property
-    def unsettled(self) -> list[Job]:
-        """Adopted jobs whose guaranteed cell is not bound yet."""
-        return list(self._unsettled.values())
+    def adopt(self, job: Job, placement: Placement, borrowed: bool) -> None:
+        """Take over a job that runs already; its cell is bound by :meth:`settle`."""
+        self._estimate(job)
+        job.firm = not borrowed
+        hosts = self.fleet.hosts
+        members = [member for member in placement.members if member.host in hosts]
+        self._assign(job, members, None)
+        if job.firm:
+            self._adoption.add(job, placement.cell)
+
+    def settle(self) -> list[Job]:
+        """Bind the cells of adopted jobs and return these jobs."""
+        return self._adoption.settle()
 
     def must_be_firm(self, job: Job) -> bool:
         """Return whether a job may not run where it can be evicted."""
@@ -92,33 +102,13 @@
         """Take back what a job holds; its cell is released after its last job."""
         cell = job.cell
         job.cell = None
-        self._unsettled.pop(job.job_id, None)
+        self._adoption.forget(job)
         self.fleet.remove(job)
         if cell is not None:
             del cell.jobs[job.job_id]
             if not cell.jobs:
                 self.guarantees.unbind(cell)
 
-    def adopt(self, job: Job, members: tuple[Member, ...], borrowed: bool) -> None:
-        """Take over a job that runs already."""
-        self._estimate(job)
-        job.firm = not borrowed
-        known = tuple(m for m in members if m.host in self.fleet.hosts)
-        self._assign(job, list(known), None)
-        if job.firm:
-            self._unsettled[job.job_id] = job
-
-    def settle(self) -> None:
-        """Bind the cells in which adopted jobs run.
-
-        This waits until all running jobs were adopted: a cell that looks unused
-        before may hold another account's job.
-        """
-        unsettled, self._unsettled = self._unsettled, {}
-        for job in unsettled.values():
-            if job.cell is None and job.members:
-                self._settle(job)
-
     def _estimate(self, job: Job) -> None:
         row = job.queued
         ask = (row.client_account, row.kind, row.declared_s)
@@ -132,7 +122,7 @@
         found = victims(self.fleet, members, job.shape)
         job.guaranteed = False
         if bound is not None:
-            self._enter(job, bound)
+            enter(job, bound)
         self.fleet.place(job, members)
         return found
 
@@ -267,55 +257,3 @@
 
     def _admits(self, reservation: Reservation, job: Job, now: float) -> bool:
         return self.reservations.admits(reservation, now, job.expected_p90_s)
-
-    def _settle(self, job: Job) -> None:
-        tree = self.fleet.tree
-        taken = [a for m in job.members for a in self.fleet.accelerators(m)]
-        if not taken:
-            return
-        for key in self.guarantees.keys(job.queued.client_account):
-            kinds = self.guarantees.kinds(key)
-            cell = tree.leaves[min(taken)]
-            while cell >= 0:
-                row = tree.cells[cell]
-                around = max(taken) < row.start + row.size
-                if around and row.kind in kinds and self._bind_around(key, cell):
-                    return
-                cell = row.parent
-
-    def _bind_around(self, key: GuaranteeKey, cell: int) -> bool:
-        """Bind a cell whose unevictable jobs all belong to the account."""
-        row = self.fleet.tree.cells[cell]
-        jobs: dict[str, Job] = {}
-        for accelerator in range(row.start, row.start + row.size):
-            if not self.fleet.clear.is_taken(accelerator):
-                continue
-            job = self.fleet.jobs.get(self.fleet.owner[accelerator] or "")
-            ours = job is not None and job.queued.client_account == key.client_account
-            if job is None or not ours or not job.firm or job.cell is not None:
-                return False
-            jobs[job.job_id] = job
-        if not self._spans(cell, jobs.values()) or not self.guarantees.unbound(key):
-            return False
-        before = self.guarantees.shortage()
-        bound = self.guarantees.bind(key, cell)
-        if not self._holds(before):
-            self.guarantees.unbind(bound)
-            return False
-        for job in jobs.values():
-            self._enter(job, bound)
-        return True
-
-    def _spans(self, cell: int, jobs: Iterable[Job]) -> bool:
-        row = self.fleet.tree.cells[cell]
-        return all(
-            row.start <= accelerator < row.start + row.size
-            for job in jobs
-            for member in job.members
-            for accelerator in self.fleet.accelerators(member)
-        )
-
-    def _enter(self, job: Job, bound: BoundCell) -> None:
-        job.cell = bound
-        job.guaranteed = True
-        bound.jobs[job.job_id] = None
--- a/tests/machines/test_point1_reclaim.py
+++ b/tests/machines/test_point1_reclaim.py
@@ -12,6 +12,7 @@
     Start,
 )
 from bilberryhitch_scheduling import PoolScheduler, clearing, starting
+from bilberryhitch_scheduling.adoption import Adoption
 from bilberryhitch_scheduling.fleet import Fleet
 from bilberryhitch_scheduling.guarantees import Guarantees
 from bilberryhitch_scheduling.starting import Starter
@@ -420,7 +421,7 @@
     "refusal to lend to firm work": (Starter, "must_be_firm", lambda self, job: False),
     "exclusion of lost hosts": (Fleet, "set_unusable", lambda self, *args: None),
     "table order of the reduction": (Guarantees, "_missing_of", first_rows_give_up),
-    "binding at takeover": (Starter, "settle", lambda self: self._unsettled.clear()),
+    "binding at takeover": (Adoption, "settle", lambda self: []),
     "end of a shrunk guarantee": (
         Guarantees,
         "usable",
