--- a/libs/gangs/src/bilberryhitch_gangs/gang_run.py
+++ b/libs/gangs/src/bilberryhitch_gangs/gang_run.py
@@ -79,6 +79,7 @@
         epoch=context.lease.epoch,
         members=members,
         borrowed=start.borrowed,
+        cell=start.placement.cell,
     )
     return Gang(JobRow(record, row.revision), context.hosts)
 
--- a/libs/scheduling/src/bilberryhitch_scheduling/lifecycle.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/lifecycle.py
@@ -92,6 +92,13 @@
         job.ran = True
         return Start(job.job_id, job.placement, not job.firm)
 
+    def settle(self) -> None:
+        """Bind the cells of adopted jobs, and count them as guaranteed."""
+        for job in self.starter.settle():
+            if job.cell is not None:
+                self.shares.count_entry(job)
+                self.queue.refresh(job.queued.client_account)
+
     def release(self, job: Job, now: float) -> None:
         """Take a job's place back and wake those that wait for it."""
         self.shares.count_use(job, -1)
--- /dev/null
+++ b/tests/machines/test_point1_reclaim.py
@@ -0,0 +1,493 @@
+"""Point 1: a guaranteed shape can always be reclaimed from borrowers."""
+
+import hypothesis.strategies as st
+import pytest
+from bilberryhitch_model import (
+    Evict,
+    Guarantee,
+    Host,
+    Pool,
+    QueuedJob,
+    Shape,
+    Start,
+)
+from bilberryhitch_scheduling import PoolScheduler, clearing, starting
+from bilberryhitch_scheduling.adoption import Adoption
+from bilberryhitch_scheduling.fleet import Fleet
+from bilberryhitch_scheduling.guarantees import Guarantees
+from bilberryhitch_scheduling.starting import Starter
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from .harness import STEPS_PER_HISTORY, Counts, Point, run_point
+from .oracle_point1_reclaim import ReclaimOracle
+
+HISTORIES = 150
+ACCOUNTS = ("a", "b", "c")
+# Racks as accelerators per worker; sizes as guarantees may ask for in each fleet.
+FLEETS = (
+    (((2,) * 6, (2,) * 6), (1, 2, 3, 4, 8, 12)),
+    (((4,) * 4, (4,) * 2, (1,) * 3), (1, 2, 4, 8)),
+    (((8, 8), (8, 1, 8, 1)), (1, 4, 8, 16)),
+    (((1,) * 8, (1,) * 6), (1, 2, 4, 6)),
+)
+
+
+def make_hosts(racks):
+    return [
+        Host(
+            f"w{rack}-{position}",
+            "worker",
+            "ruwi",
+            "",
+            rack=f"rack-{rack}",
+            position=position,
+            accelerators=count,
+            cores=4 * count,
+            memory_gb=4 * count,
+        )
+        for rack, row in enumerate(racks)
+        for position, count in enumerate(row)
+    ]
+
+
+class ReclaimMachine(RuleBasedStateMachine):
+    """Drives a scheduler and shows the oracle all it decides."""
+
+    counts = Counts()
+
+    @initialize(fleet=st.sampled_from(FLEETS), data=st.data())
+    def begin(self, fleet, data):
+        self.counts.histories += 1
+        racks, self.sizes = fleet
+        self.hosts = {host.name: host for host in make_hosts(racks)}
+        rows = [
+            (h.name, h.rack, h.position, h.accelerators) for h in self.hosts.values()
+        ]
+        self.oracle = ReclaimOracle(rows)
+        self.now, self.submitted = 0.0, 0
+        self.jobs, self.placed = {}, {}
+        self.lost, self.quarantined = set(), set()
+        self.clearing = {}
+        self.pool = Pool("gpu", "job", guarantees=self.draw_guarantees(data))
+        self.oracle.rows = self.rows()
+        self.scheduler = self.make_scheduler()
+
+    def make_scheduler(self):
+        return PoolScheduler("ruwi", self.pool, list(self.hosts.values()))
+
+    def draw_guarantees(self, data):
+        row = st.builds(
+            Guarantee,
+            client_account=st.sampled_from(ACCOUNTS[:2]),
+            data_centre=st.just("ruwi"),
+            accelerators=st.sampled_from(self.sizes),
+            cells=st.integers(1, 2),
+        )
+        return tuple(data.draw(st.lists(row, max_size=4)))
+
+    def rows(self):
+        rows = self.pool.guarantees
+        return [(row.client_account, row.accelerators, row.cells) for row in rows]
+
+    def bound(self):
+        return [
+            (
+                row.client_account,
+                row.accelerators,
+                [(host, index) for host, taken in row.place for index in taken],
+                row.jobs,
+            )
+            for row in self.scheduler.bound_cells()
+        ]
+
+    def missing(self):
+        found = self.scheduler.shortfall()
+        return {(row.client_account, row.accelerators): row.missing for row in found}
+
+    def stage(self, job_id):
+        return self.scheduler.explain(job_id).state
+
+    @rule(
+        account=st.sampled_from(ACCOUNTS),
+        tasks=st.sampled_from((1, 1, 2, 3, 4, 8)),
+        per_task=st.sampled_from((1, 1, 2, 4, 8)),
+        may_borrow=st.booleans(),
+        urgent=st.sampled_from((False, False, True)),
+        cores=st.sampled_from((0, 1, 4)),
+    )
+    def submit(self, *, account, tasks, per_task, may_borrow, urgent, cores):
+        shape = Shape(tasks, per_task, min(cores, 4 * per_task), 1)
+        urgency = "urgent" if urgent else "normal"
+        self.queue(account, shape, may_borrow=may_borrow, urgency=urgency)
+
+    @precondition(lambda self: self.pool.guarantees)
+    @rule(data=st.data(), whole=st.booleans(), count=st.integers(1, 3))
+    def submit_within_guarantee(self, data, whole, count):
+        row = data.draw(st.sampled_from(self.pool.guarantees))
+        shape = Shape(row.accelerators if whole else 1, 1, 1, 1)
+        for _ in range(count):
+            self.queue(row.client_account, shape)
+        self.decide(0.0)
+
+    @rule(cores=st.integers(1, 8), account=st.sampled_from(ACCOUNTS))
+    def submit_without_accelerators(self, cores, account):
+        self.queue(account, Shape(2, 0, cores))
+
+    def queue(self, account, shape, **options):
+        self.submitted += 1
+        declared_s = 5.0 * shape.tasks
+        row = QueuedJob(
+            f"j{self.submitted}",
+            account,
+            "render",
+            "caller",
+            shape,
+            declared_s=declared_s,
+            **options,
+        )
+        if self.scheduler.submit(row, self.now).is_ok():
+            self.jobs[row.job_id] = row
+
+    @rule(gap=st.sampled_from((0.0, 1.0, 100.0)))
+    def decide(self, gap):
+        self.now += gap
+        before, bound = self.missing(), self.bound()
+        due = self.clearing_due()
+        decisions = self.scheduler.decide(self.now)
+        for decision in decisions:
+            self.record(decision)
+        after = self.missing()
+        for key, count in after.items():
+            assert count <= before.get(key, 0), f"{key} lost a cell to a decision"
+        for job_id in due:
+            assert self.stage(job_id) != "clearing", f"{job_id} waits a second time"
+        self.oracle.check_grown(bound, self.bound())
+        self.check_started()
+        self.note_clearing()
+
+    @rule()
+    def decide_at_once(self):
+        """Most histories need several decisions to say anything."""
+        self.decide(0.0)
+
+    def record(self, decision):
+        row = self.jobs[decision.job_id]
+        if isinstance(decision, Evict):
+            if row.shape.accelerators:
+                self.oracle.evict(row.job_id)
+            assert row.may_borrow, f"{row.job_id} may not borrow but is evicted"
+            return
+        assert isinstance(decision, Start)
+        taken = [
+            (member.host, index)
+            for member in decision.placement.members
+            for index in member.accelerators
+        ]
+        shape = (row.shape.tasks, row.shape.accelerators)
+        if taken:
+            self.oracle.start(
+                row.job_id,
+                row.client_account,
+                shape=shape,
+                accelerators=taken,
+                borrowed=decision.borrowed,
+                may_borrow=row.may_borrow,
+            )
+        self.placed[row.job_id] = (decision.placement, decision.borrowed)
+        self.scheduler.started(row.job_id, self.now)
+
+    def clearing_due(self):
+        """Jobs for which all evictions decided in one ``decide`` were confirmed."""
+        return [j for j, waits in self.clearing.items() if not waits]
+
+    def note_clearing(self):
+        stages = {job_id: self.stage(job_id) for job_id in self.jobs}
+        waiting = self.evicted_jobs()
+        self.clearing = {
+            job_id: self.clearing.get(job_id, set(waiting))
+            for job_id, stage in stages.items()
+            if stage == "clearing"
+        }
+
+    def answered(self, job_id):
+        for waits in self.clearing.values():
+            waits.discard(job_id)
+
+    def check_started(self):
+        """A queued job must not fit a cell that its account's guarantee keeps."""
+        bound = self.bound()
+        left = self.oracle.unbound(bound)
+        for key, count in self.oracle.missing(bound).items():
+            left[key] -= count
+        for row in self.jobs.values():
+            if not row.shape.accelerators or self.stage(row.job_id) != "queued":
+                continue
+            for (account, size), count in left.items():
+                if account != row.client_account or not count:
+                    continue
+                fits = self.oracle.fits(row.shape.tasks, row.shape.accelerators, size)
+                assert not fits, f"{row.job_id} fits the guarantee but is not started"
+
+    def pick(self, data, job_ids):
+        return data.draw(st.sampled_from(sorted(job_ids)))
+
+    def running(self):
+        return [j for j in self.jobs if self.stage(j) == "running"]
+
+    def evicted_jobs(self):
+        explain = self.scheduler.explain
+        return [j for j in self.jobs if explain(j).rule == "reclaimed"]
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data())
+    def finish(self, data):
+        job_id = self.pick(data, self.running())
+        self.scheduler.finished(job_id, self.now)
+        self.oracle.end(job_id)
+        self.answered(job_id)
+        del self.jobs[job_id]
+
+    @precondition(lambda self: self.evicted_jobs())
+    @rule(data=st.data(), all_of_them=st.booleans())
+    def answer_eviction(self, data, all_of_them):
+        waiting = self.evicted_jobs()
+        for job_id in waiting if all_of_them else [self.pick(data, waiting)]:
+            self.scheduler.evicted(job_id, self.now)
+            self.oracle.end(job_id)
+            self.answered(job_id)
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data())
+    def fail_start(self, data):
+        self.counts.faults += 1
+        job_id = self.pick(data, self.running())
+        self.scheduler.start_failed(job_id, "w0-0", self.now)
+        self.oracle.end(job_id)
+        self.answered(job_id)
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data())
+    def cancel(self, data):
+        job_id = self.pick(data, self.jobs)
+        if self.scheduler.cancel(job_id):
+            del self.jobs[job_id]
+            self.clearing.pop(job_id, None)
+
+    @rule(data=st.data(), whole_rack=st.booleans())
+    def lose(self, data, whole_rack):
+        self.counts.faults += 1
+        host = self.hosts[data.draw(st.sampled_from(sorted(self.hosts)))]
+        for other in self.hosts.values():
+            if other == host or (whole_rack and other.rack == host.rack):
+                self.lost.add(other.name)
+                self.scheduler.host_lost(other.name)
+        self.update_unusable()
+
+    @rule(back=st.booleans())
+    def restore(self, back):
+        for name in sorted(self.lost):
+            self.lost.discard(name)
+            self.scheduler.host_back(self.hosts[name]._replace(boot_id="again"))
+            if back:
+                break
+        self.update_unusable()
+
+    @rule(data=st.data(), release=st.booleans())
+    def quarantine(self, data, release):
+        name = data.draw(st.sampled_from(sorted(self.hosts)))
+        if release:
+            self.quarantined.discard(name)
+            self.scheduler.release(name)
+        else:
+            self.quarantined.add(name)
+            self.scheduler.quarantine(name)
+        self.update_unusable()
+
+    @rule(data=st.data(), borrowing=st.booleans())
+    def set_pool(self, data, borrowing):
+        self.adopt_pool(self.draw_guarantees(data), borrowing)
+
+    @precondition(lambda self: self.pool.guarantees)
+    @rule(data=st.data(), to=st.sampled_from(ACCOUNTS), cells=st.integers(0, 2))
+    def change_guarantee(self, data, to, cells):
+        """Shrink or grow a guarantee, and move one to another account."""
+        rows = list(self.pool.guarantees)
+        index = data.draw(st.integers(0, len(rows) - 1))
+        if cells:
+            rows[index] = rows[index]._replace(client_account=to, cells=cells)
+        else:
+            del rows[index]
+        self.adopt_pool(tuple(rows), self.pool.borrowing)
+
+    def adopt_pool(self, rows, borrowing):
+        self.pool = self.pool._replace(guarantees=rows, borrowing=borrowing)
+        self.scheduler.set_pool(self.pool)
+        self.oracle.rows = self.rows()
+        self.clearing = {}
+
+    @rule()
+    def take_over(self):
+        """A new planner knows the job rows and the hosts, not the evictions."""
+        placed = {job_id: self.placed[job_id] for job_id in self.running()}
+        before = sum(self.missing().values())
+        self.scheduler = self.make_scheduler()
+        for name in sorted(self.lost):
+            self.scheduler.host_lost(name)
+        for name in sorted(self.quarantined):
+            self.scheduler.quarantine(name)
+        for job_id, row in list(self.jobs.items()):
+            if job_id in placed:
+                placement, borrowed = placed[job_id]
+                self.scheduler.adopt(row, placement, borrowed, self.now)
+            elif self.scheduler.submit(row, self.now).is_error():
+                del self.jobs[job_id]
+        self.clearing = {}
+        after = sum(self.missing().values())
+        assert after <= before, "a takeover lost guaranteed cells"
+
+    def update_unusable(self):
+        names = self.lost | self.quarantined
+        self.oracle.unusable = dict.fromkeys(names, True)
+        self.clearing = {}
+
+    @invariant()
+    def check(self):
+        if not hasattr(self, "scheduler"):
+            return
+        self.counts.steps += 1
+        bound = self.bound()
+        self.oracle.check_bound(bound)
+        inside = {job_id for row in bound for job_id in row[3]}
+        if any(
+            self.stage(job_id) == "clearing" for job_id in self.jobs.keys() - inside
+        ):
+            return  # the oracle does not see which place such a job keeps
+        told, true = self.missing(), self.oracle.missing(bound)
+        assert told == true, f"shortfall told {told}, true {true}"
+
+
+def run_without_shrinking(histories):
+    """Find a violation; how short its history is does not matter here."""
+    options = settings(
+        max_examples=histories,
+        stateful_step_count=STEPS_PER_HISTORY,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    seed(1)(ReclaimMachine)
+    run_state_machine_as_test(ReclaimMachine, settings=options)
+
+
+POINT = Point(1, ReclaimMachine, ReclaimMachine.counts)
+
+
+def test_point_holds():
+    run_point(POINT, seed_number=1, histories=HISTORIES)
+
+
+def first_rows_give_up(self, need, short):
+    missing = {}
+    for key in need.rows:
+        given = min(short, self.unbound(key))
+        short -= given
+        if given:
+            missing[key] = given
+    return missing
+
+
+WITHOUT = {
+    "check of firm work beside guarantees": (
+        Starter,
+        "keeps_guarantees",
+        lambda self, members: True,
+    ),
+    "waiting for evictions": (starting, "victims", lambda *args: {}),
+    "protection of guaranteed work": (
+        clearing,
+        "_clearable",
+        lambda fleet, accelerator, may_evict: fleet.claim[accelerator] is None,
+    ),
+    "refusal to lend to firm work": (Starter, "must_be_firm", lambda self, job: False),
+    "exclusion of lost hosts": (Fleet, "set_unusable", lambda self, *args: None),
+    "table order of the reduction": (Guarantees, "_missing_of", first_rows_give_up),
+    "binding at takeover": (Adoption, "settle", lambda self: []),
+    "end of a shrunk guarantee": (
+        Guarantees,
+        "usable",
+        lambda self, key: self._bound.get(key, []),
+    ),
+    "size of a guarantee": (Starter, "_within", lambda *args: True),
+    "check of bindings": (Starter, "_holds", lambda self, before: True),
+    "reclaim": (Starter, "_bind", lambda self, job, key, now: None),
+}
+
+
+@pytest.mark.parametrize("mechanism", WITHOUT)
+def test_removed_mechanism_is_noticed(mechanism, monkeypatch):
+    """Guards against a machine that passes whatever the scheduler does."""
+    monkeypatch.setattr(*WITHOUT[mechanism])
+    with pytest.raises(AssertionError):
+        run_without_shrinking(histories=200)
+
+
+def oracle(*rows):
+    found = ReclaimOracle([(f"w{n}", "r", n, 2) for n in range(4)])
+    found.rows = list(rows)
+    return found
+
+
+def begin(found, job_id, account, *places, borrowed=False, per_task=1):
+    shape = (len(places) // per_task, per_task)
+    options = {"borrowed": borrowed, "may_borrow": borrowed}
+    found.start(job_id, account, shape=shape, accelerators=places, **options)
+
+
+def test_oracle_rejects_an_accelerator_given_twice():
+    found = oracle()
+    begin(found, "j1", "a", ("w0", 0))
+    with pytest.raises(AssertionError, match="accelerators of j1"):
+        begin(found, "j2", "b", ("w0", 0))
+
+
+def test_oracle_rejects_a_gang_across_aligned_cells():
+    found = oracle()
+    with pytest.raises(AssertionError, match="not adjacent"):
+        begin(found, "j1", "a", ("w0", 1), ("w1", 0), per_task=1)
+
+
+def test_oracle_rejects_the_eviction_of_guaranteed_work():
+    found = oracle(("a", 2, 1))
+    begin(found, "j1", "a", ("w0", 0))
+    with pytest.raises(AssertionError, match="did not borrow"):
+        found.evict("j1")
+
+
+def test_oracle_counts_a_guarantee_that_firm_work_made_impossible():
+    found = oracle(("a", 8, 1), ("b", 2, 1))
+    begin(found, "j1", "c", ("w0", 0))
+    assert found.missing([]) == {("a", 8): 1}
+
+
+def test_oracle_rejects_foreign_work_in_a_bound_cell():
+    found = oracle(("a", 2, 1))
+    begin(found, "j1", "b", ("w0", 0))
+    with pytest.raises(AssertionError, match="holds a cell"):
+        found.check_bound([("a", 2, [("w0", 0), ("w0", 1)], ["j2"])])
+
+
+def test_oracle_rejects_new_work_in_a_cell_that_was_taken_away():
+    found = oracle()
+    cell = [("w0", 0), ("w0", 1)]
+    with pytest.raises(AssertionError, match="grew"):
+        found.check_grown([("a", 2, cell, ["j1"])], [("a", 2, cell, ["j1", "j2"])])
