--- a/libs/api/src/bilberryhitch_api/admin.py
+++ b/libs/api/src/bilberryhitch_api/admin.py
@@ -15,7 +15,12 @@
     parse_rows,
     quote,
 )
-from bilberryhitch_model.errors import BadInput, BilberryhitchError, NotFound
+from bilberryhitch_model.errors import (
+    BadInput,
+    BilberryhitchError,
+    NotFound,
+    TableInvalid,
+)
 from expression import Result
 
 from .bodies import query_number, read_body
@@ -43,22 +48,27 @@
     operators: Mapping[str, str],
     *,
     max_body_bytes: int,
+    max_rows: Mapping[str, int],
 ) -> list[web.RouteDef]:
     """Return the routes for operators.
 
     :param read_audit: returns the last operator actions, newest first
     :param operators: SHA-256 of the token in hexadecimal, by operator name
     :param max_body_bytes: limit of a table's JSON, in bytes
+    :param max_rows: limit of each table, in rows
     """
     return [
-        *_table_routes(config, operators, max_body_bytes),
+        *_table_routes(config, operators, max_body_bytes, max_rows),
         *_status_routes(config, read_audit, operators),
         *_drain_routes(membership, operators),
     ]
 
 
 def _table_routes(
-    config: ConfigService, operators: Mapping[str, str], max_body_bytes: int
+    config: ConfigService,
+    operators: Mapping[str, str],
+    max_body_bytes: int,
+    max_rows: Mapping[str, int],
 ) -> list[web.RouteDef]:
     async def get(request: web.Request) -> web.Response:
         authenticate_operator(request, operators)
@@ -70,7 +80,7 @@
         operator = authenticate_operator(request, operators)
         base = _base_revision(request)
         plain = parse_json(await read_body(request, max_body_bytes))
-        replacement = _replacement(config, plain, routes=_is_routes(request))
+        replacement = _replacement(config, plain, max_rows, routes=_is_routes(request))
         if request.query.get("dry_run") == "1":
             _ok(await config.check(replacement.change, base))
             return _json({"revision": base, "difference": replacement.difference})
@@ -138,12 +148,18 @@
     return name
 
 
-def _replacement(config: ConfigService, plain: Any, *, routes: bool) -> Replacement:
+def _replacement(
+    config: ConfigService, plain: Any, max_rows: Mapping[str, int], *, routes: bool
+) -> Replacement:
     """Return the change that replaces one table by the rows of a body.
 
-    :raises TableInvalid: a row cannot be read
+    :raises TableInvalid: a row cannot be read, or there are too many
     """
     rows = plain["rows"] if isinstance(plain, dict) and "rows" in plain else plain
+    table = "routes" if routes else "pools"
+    if isinstance(rows, list) and len(rows) > max_rows[table]:
+        rule = f"has at most {max_rows[table]} rows"
+        raise TableInvalid("", table, len(rows), rule)
     tables = config.tables_view
     if routes:
         new_routes = _ok(parse_rows(Route, rows))
--- a/libs/api/src/bilberryhitch_api/errors.py
+++ b/libs/api/src/bilberryhitch_api/errors.py
@@ -27,8 +27,8 @@
     errors.StoreAnswerLost: 504,
 }
 OUTCOMES: dict[type[errors.BilberryhitchError], str] = {
-    errors.QueueFull: "not run",
-    errors.NotRun: "not run",
+    errors.QueueFull: "not_run",
+    errors.NotRun: "not_run",
     errors.OutcomeUnknown: "unknown",
 }
 
--- a/libs/api/src/bilberryhitch_api/server.py
+++ b/libs/api/src/bilberryhitch_api/server.py
@@ -5,14 +5,18 @@
 
 from aiohttp import web
 from bilberryhitch_model import Address
+from bilberryhitch_model.errors import NotRun
 
 from .errors import Handler, error_middleware
 
+BUSY_RETRY_S = 1.0
+
 
 class ApiServer:
     """Serves the API on one address.
 
     :param routes: caller, administration and operation routes
+    :param max_calls: calls served at once; one more is refused as not run
     :param shutdown_wait_s: how long :meth:`close` waits for open connections
         after every handler has answered, in seconds
     """
@@ -23,6 +27,7 @@
         routes: Iterable[web.RouteDef],
         *,
         max_body_bytes: int,
+        max_calls: int,
         shutdown_wait_s: float = 1.0,
     ) -> None:
         application = web.Application(
@@ -37,6 +42,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._in_flight = 0
+        self._max_calls = max_calls
 
     @property
     def address(self) -> Address:
@@ -70,6 +76,8 @@
     async def _count(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
+        if self._in_flight >= self._max_calls:
+            raise NotRun("too many calls at this entry host", BUSY_RETRY_S)
         self._in_flight += 1
         self._idle.clear()
         try:
--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -223,11 +223,15 @@
                 lambda limit: read_audit(self._platform.tables, limit, time.time()),
                 self._settings.operators,
                 max_body_bytes=limits.max_body_bytes,
+                max_rows={"routes": limits.max_routes, "pools": limits.max_pools},
             ),
             *health_routes(lambda: self.ready, scrape),
         ]
         return ApiServer(
-            self._settings.api_address, routes, max_body_bytes=limits.max_body_bytes
+            self._settings.api_address,
+            routes,
+            max_body_bytes=limits.max_body_bytes,
+            max_calls=limits.max_connections,
         )
 
     def _job_changed(self, record: JobRecord) -> None:
