--- a/scripts/build_dist.py
+++ b/scripts/build_dist.py
@@ -1,45 +1,65 @@
 """Builds the single executable file: ``build_dist.py OUTPUT``.
 
 shiv is used because its file runs as one process; a PyInstaller one-file build
-starts the program as a child of its bootloader.
+starts the program as a child of its bootloader. The file holds what is installed
+in the environment that runs this script, so that the build needs no network.
 """
 
-import glob
 import re
+import shutil
 import subprocess
 import sys
 import tempfile
+from importlib import metadata
 from pathlib import Path
 
+from packaging.requirements import Requirement
+
 ROOT = Path(__file__).resolve().parent.parent
-BIN = Path(sys.executable).parent
-NOT_AT_RUN_TIME = re.compile(r"^# Tests, checks", re.MULTILINE)
+RUN_TIME_PART = re.compile(r"^# Run time\n(.*?)^#", re.MULTILINE | re.DOTALL)
 
 
-def run_time_requirements() -> list[str]:
-    """Return the names of the first part of requirements.in."""
+def run_time_names() -> list[str]:
+    """Return the distributions named in the first part of requirements.in."""
     text = (ROOT / "requirements.in").read_text(encoding="utf-8")
-    first = NOT_AT_RUN_TIME.split(text)[0]
-    return [line for line in first.splitlines() if line and line[0] != "#"]
+    found = RUN_TIME_PART.search(text)
+    if found is None:
+        raise SystemExit("requirements.in has no part '# Run time'")
+    return found.group(1).split()
+
+
+def with_dependencies(names: list[str]) -> set[str]:
+    """Return the distributions and everything that they need here."""
+    found: set[str] = set()
+    waiting = list(names)
+    while waiting:
+        name = waiting.pop()
+        if name in found:
+            continue
+        found.add(name)
+        for text in metadata.requires(name) or []:
+            requirement = Requirement(text)
+            if requirement.marker is None or requirement.marker.evaluate({"extra": ""}):
+                waiting.append(requirement.name)
+    return found
 
 
-def build_site(site: Path) -> None:
-    """Install the pinned requirements and the workspace's libraries."""
-    pip = [sys.executable, "-m", "pip", "install", "--quiet", "--target", str(site)]
-    subprocess.run(
-        [*pip, "-c", str(_constraints(site)), *run_time_requirements()], check=True
-    )
-    libs = sorted(glob.glob(str(ROOT / "libs" / "*")))
-    subprocess.run([*pip, "--no-deps", "--no-build-isolation", *libs], check=True)
+def copy_distribution(name: str, site: Path) -> None:
+    """Copy the files of one installed distribution."""
+    for file in metadata.files(name) or []:
+        source = Path(str(file.locate()))
+        if ".." in file.parts or "__pycache__" in file.parts or not source.exists():
+            continue
+        target = site / file
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(source, target)
 
 
-def _constraints(site: Path) -> Path:
-    """Write the pinned versions without hashes, which constraints cannot carry."""
-    lines = (ROOT / "requirements.txt").read_text(encoding="utf-8").splitlines()
-    pins = [line.split(" ")[0] for line in lines if "==" in line and line[0] != " "]
-    path = site.parent / "constraints.txt"
-    path.write_text("\n".join(pins) + "\n", encoding="utf-8")
-    return path
+def copy_libraries(site: Path) -> None:
+    """Copy the packages of the workspace."""
+    ignore = shutil.ignore_patterns("__pycache__", "*.egg-info")
+    for source in ROOT.glob("libs/*/src"):
+        shutil.copytree(source, site, dirs_exist_ok=True, ignore=ignore)
 
 
 def main() -> None:
@@ -47,12 +67,13 @@
     output = Path(sys.argv[1]).resolve()
     output.parent.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as folder:
-        site = Path(folder) / "site"
-        site.mkdir()
-        build_site(site)
+        site = Path(folder)
+        for name in sorted(with_dependencies(run_time_names())):
+            copy_distribution(name, site)
+        copy_libraries(site)
         subprocess.run(
             [
-                str(BIN / "shiv"),
+                str(Path(sys.executable).parent / "shiv"),
                 "--site-packages",
                 str(site),
                 "--entry-point",
