Rest a worker for 2 s after a failed start; keep the cell with the job

Cause: the scheduler chooses a worker that refuses starts again at once, and each round wrote two rows to the store until a second job failed there. The job row now also keeps Placement.cell for takeovers, and only completed runs count for run-time estimates.

--- a/libs/gangs/src/bilberryhitch_gangs/context.py
+++ b/libs/gangs/src/bilberryhitch_gangs/context.py
@@ -20,6 +20,7 @@
 from .worker_client import WorkerClient
 from .worker_health import WorkerHealth
 
+COOLING_S = 2.0
 WORKER_ERRORS = (StaleToken, WorkerRefused, WorkerUnreachable)
 
 
@@ -66,6 +67,32 @@
         self._by_host: dict[str, dict[str, Gang]] = {}
         self._gang_started: dict[str, asyncio.Event] = {}
         self._tries: dict[str, int] = {}
+        self._cooling: dict[str, int] = {}
+
+    def cool(self, host: str) -> None:
+        """Place nothing on a worker for a moment after it failed a start.
+
+        Otherwise the scheduler may choose it again at once, and every round
+        costs writes to the store until the worker is quarantined.
+        """
+        if not host:
+            return
+        self._cooling[host] = self._cooling.get(host, 0) + 1
+        self.scheduler.quarantine(host)
+        self.spawn(self._end_cooling(host))
+
+    def place_again(self, host: str) -> None:
+        """Let the scheduler use a worker that neither cools nor is quarantined."""
+        if host not in self._cooling and host not in self.health.quarantined:
+            self.scheduler.release(host)
+            self.wake.set()
+
+    async def _end_cooling(self, host: str) -> None:
+        await asyncio.sleep(COOLING_S)
+        self._cooling[host] -= 1
+        if not self._cooling[host]:
+            del self._cooling[host]
+        self.place_again(host)
 
     def next_attempt(self, record: JobRecord) -> int:
         """Return an attempt number that no lease of this planner has carried.
--- a/libs/gangs/src/bilberryhitch_gangs/gang_run.py
+++ b/libs/gangs/src/bilberryhitch_gangs/gang_run.py
@@ -32,6 +32,7 @@
         log(events.GANG_START_UNDONE, attempt=gang.attempt_id, host=failed_host)
         await release_all(context, gang)
         context.remove_gang(gang)
+        context.cool(failed_host or "")
         _put_back(context, start.job_id, failed_host or "")
         return
     log(events.GANG_RESERVED, attempt=gang.attempt_id, hosts=list(gang.members))
@@ -79,6 +80,7 @@
         epoch=context.lease.epoch,
         members=members,
         borrowed=start.borrowed,
+        cell=start.placement.cell,
     )
     return Gang(JobRow(record, row.revision), context.hosts)
 
@@ -146,7 +148,8 @@
             _log_outcome(row.record)
         if row is not None and row.record.status == "failed":
             context.health.clear_job(job_id)
-        context.scheduler.finished(job_id, _loop_time())
+        completed = row is not None and row.record.status == "completed"
+        context.scheduler.finished(job_id, _loop_time(), completed=completed)
         context.forget_job(job_id)
         return
     context.note_row(row)
@@ -154,6 +157,7 @@
     if ending.cause == "evict":
         context.scheduler.evicted(job_id, _loop_time())
     else:
+        context.cool(ending.host)
         context.scheduler.start_failed(job_id, ending.host, _loop_time())
 
 
--- a/libs/gangs/src/bilberryhitch_gangs/pool_scheduler.py
+++ b/libs/gangs/src/bilberryhitch_gangs/pool_scheduler.py
@@ -60,8 +60,8 @@
     def start_failed(self, job_id: str, host: str, now: float) -> None:
         """Queue the job again; ``host`` is at fault unless it is empty."""
 
-    def finished(self, job_id: str, now: float) -> None:
-        """Forget a job that will not run again."""
+    def finished(self, job_id: str, now: float, completed: bool = True) -> None:
+        """Forget a job that will not run again; estimates count completed runs."""
 
     def evicted(self, job_id: str, now: float) -> None:
         """Queue a job again that was stopped."""
--- a/libs/gangs/src/bilberryhitch_gangs/probe.py
+++ b/libs/gangs/src/bilberryhitch_gangs/probe.py
@@ -24,7 +24,7 @@
         return
     if passed:
         context.health.release(host.name)
-        context.scheduler.release(host.name)
+        context.place_again(host.name)
         log(events.WORKER_RELEASED, host=host.name)
         context.wake.set()
 
--- a/libs/gangs/src/bilberryhitch_gangs/reconcile.py
+++ b/libs/gangs/src/bilberryhitch_gangs/reconcile.py
@@ -94,7 +94,7 @@
     gang = Gang(row, context.hosts)
     gang.running = True
     context.add_gang(gang)
-    placement = Placement(record.members)
+    placement = Placement(record.members, record.cell)
     context.scheduler.adopt(queued_job(record, at), placement, record.borrowed, at)
     for name, state in gang.members.items():
         # The earlier planner may have renewed up to the moment it was replaced.
--- a/libs/model/src/bilberryhitch_model/work.py
+++ b/libs/model/src/bilberryhitch_model/work.py
@@ -68,6 +68,7 @@
     :param saved: object store key of the last checkpoint
     :param cancel: whether a caller asked to cancel
     :param failed_on: worker of each failure of a task of the job
+    :param cell: ``Placement.cell`` of the start, for a planner that takes over
     """
 
     job_id: str
@@ -97,6 +98,7 @@
     started_at: float = 0.0
     finished_at: float = 0.0
     failed_on: tuple[str, ...] = ()
+    cell: int | None = None
 
 
 class QueuedJob(NamedTuple):
@@ -119,9 +121,14 @@
 
 
 class Placement(NamedTuple):
-    """Where each part of a gang goes."""
+    """Where each part of a gang goes.
+
+    :param cell: accelerators of the guaranteed cell it lies in, 0 outside any,
+        ``None`` when not known
+    """
 
     members: tuple[Member, ...]
+    cell: int | None = None
 
 
 class Start(NamedTuple):
--- a/measure/planner_cost.py
+++ b/measure/planner_cost.py
@@ -182,7 +182,15 @@
     def started(self, job_id: str, now: float) -> None:
         """Do nothing."""
 
-    finished = evicted = started
+    def finished(self, job_id: str, now: float, completed: bool = True) -> None:
+        """Do nothing."""
+
+    def take_dropped(self) -> list[object]:
+        """Drop nothing."""
+        return []
+
+    shortfall = take_dropped
+    evicted = started
 
     def start_failed(self, job_id: str, host: str, now: float) -> None:
         """Fail, because no start can fail here."""
