Complete an eviction whose planner ended after the checkpoint

Cause: a task is held at its checkpoint until it is stopped. A planner that took over between the two saw it running and kept its lease, so the job never ended. Ruled out: quarantine and cooling, both empty.

--- a/libs/gangs/src/bilberryhitch_gangs/gang.py
+++ b/libs/gangs/src/bilberryhitch_gangs/gang.py
@@ -132,6 +132,9 @@
             state.seen_at = max(state.seen_at, sent_at)
         elif lease.state == "finished":
             state.done = True
+        elif lease.state == "held":
+            # An earlier planner ended between the checkpoint and the stop.
+            self.finish(Ending("evict"))
         else:
             causes: dict[str, Cause] = {"reserved": "unstarted", "failed": "failed"}
             self.finish(Ending(causes.get(lease.state, "lost"), host))
--- a/libs/gangs/src/bilberryhitch_gangs/renewal.py
+++ b/libs/gangs/src/bilberryhitch_gangs/renewal.py
@@ -23,7 +23,7 @@
 PROBE_S = 15.0
 # One lost answer is common; a second one in a row means a lost worker.
 MISSES_LOST = 2
-ACTIVE = ("reserved", "running")
+ACTIVE = ("reserved", "running", "held")
 
 
 class WorkerLink:
--- a/libs/gangs/src/bilberryhitch_gangs/worker_client.py
+++ b/libs/gangs/src/bilberryhitch_gangs/worker_client.py
@@ -23,8 +23,8 @@
 class LeaseView(NamedTuple):
     """What a worker reports of one lease.
 
-    :param state: ``reserved``, ``running``, ``finished``, ``failed``,
-        ``stopped``, ``lapsed`` or ``absent``
+    :param state: ``reserved``, ``running``, ``held`` at its checkpoint,
+        ``finished``, ``failed``, ``stopped``, ``lapsed`` or ``absent``
     :param started: whether the task has started under the lease
     """
 
--- a/libs/standins/src/bilberryhitch_standins/worker_model.py
+++ b/libs/standins/src/bilberryhitch_standins/worker_model.py
@@ -43,7 +43,8 @@
 class LeaseReport(NamedTuple):
     """What the worker tells about one lease.
 
-    :param state: a lease phase, or ``absent``
+    :param state: a lease phase, ``held`` for a task held at its checkpoint, or
+        ``absent``
     :param started: whether the task has started under this lease
     """
 
@@ -82,6 +83,12 @@
         self.remaining_s = 0.0
         self.since = 0.0
         self.speed = 1.0
+        self.held = False
+
+    @property
+    def state(self) -> str:
+        """The phase as it is reported."""
+        return "held" if self.held and self.phase == "running" else self.phase
 
     @property
     def active(self) -> bool:
@@ -202,6 +209,7 @@
         if self.ignore_checkpoint:
             raise self._refusal("checkpoint failed")
         lease.set_speed(0.0, self._clock())
+        lease.held = True
         self._saved[saved] = lease.total_s - lease.remaining_s
         self._record("checkpoint", lease, saved=saved)
         return self._report(attempt_id)
@@ -211,6 +219,7 @@
         self._admit(token)
         lease = self._running(attempt_id)
         lease.set_speed(speed, self._clock())
+        lease.held = False
         self._record("throttle", lease)
         return self._report(attempt_id)
 
@@ -313,7 +322,7 @@
         if lease is None:
             return LeaseReport(attempt_id, "absent", False, "", self.boot_id)
         return LeaseReport(
-            attempt_id, lease.phase, lease.started, lease.detail, self.boot_id
+            attempt_id, lease.state, lease.started, lease.detail, self.boot_id
         )
 
     def _record(
--- a/tests/machines/test_point5_jobs.py
+++ b/tests/machines/test_point5_jobs.py
@@ -230,3 +230,18 @@
         event(4, "finish", "j/2/1"),
     ]
     check_jobs({"j": JOB}, events, set(), {})
+
+
+def test_eviction_is_completed_by_the_next_planner():
+    # Guards against tasks that stay held at a checkpoint after a takeover.
+    machine = JobMachine()
+    machine.submit_one("once-save", 15.0, settle_s=4.0)
+    machine.evict(0)
+    machine.advance_to("checkpoint")
+    machine.kill("a")
+    machine.kill("b")
+    machine.boot("a")
+    assert not machine.world.drain(100)
+    (record,) = machine.world.records().values()
+    machine.teardown()
+    assert (record.status, record.attempt > 1) == ("completed", True)
