--- a/libs/scheduling/src/bilberryhitch_scheduling/guarantees.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/guarantees.py
@@ -115,6 +115,14 @@
         """
         return self._bound.get(key, [])[: self._counts.get(key, 0)]
 
+    def allowed(self, key: GuaranteeKey) -> int:
+        """Return the accelerators that a guarantee allows in all its cells."""
+        return self._counts.get(key, 0) * key.accelerators
+
+    def bound_to(self, key: GuaranteeKey) -> list[BoundCell]:
+        """Return the bound cells of a guarantee, also those beyond its count."""
+        return self._bound.get(key, [])
+
     def bound(self) -> list[BoundCell]:
         """Return all bound cells."""
         return list(self._at.values())
--- a/libs/scheduling/src/bilberryhitch_scheduling/starting.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/starting.py
@@ -176,10 +176,19 @@
         return None
 
     def _within(self, bound: BoundCell, members: list[Member]) -> bool:
-        """Return whether the account stays within the size of its cell."""
-        used = sum(self.fleet.jobs[job_id].occupied for job_id in bound.jobs)
-        used += sum(len(member.accelerators) for member in members)
-        return used <= bound.key.accelerators
+        """Return whether the account stays within its cell and its guarantee.
+
+        After a guarantee shrank, its account may hold more than it is allowed.
+        """
+        added = sum(len(member.accelerators) for member in members)
+        key = bound.key
+        if self._used_in(bound) + added > key.accelerators:
+            return False
+        held = sum(map(self._used_in, self.guarantees.bound_to(key)))
+        return held + added <= self.guarantees.allowed(key)
+
+    def _used_in(self, bound: BoundCell) -> int:
+        return sum(self.fleet.jobs[job_id].occupied for job_id in bound.jobs)
 
     def _whole_groups(self, shape: Shape) -> Iterator[list[int]]:
         clear = self.fleet.clear
