--- a/libs/membership/src/bilberryhitch_membership/boot_rows.py
+++ b/libs/membership/src/bilberryhitch_membership/boot_rows.py
@@ -63,15 +63,19 @@
             put = Put(DRAINS + host + BOOTS, json.encode(boots))
             written = await self._commit(host, revision, put)
             if written:
-                self._rows[host] = (written, boots)
+                if written > self._rows.get(host, (0, ()))[0]:
+                    self._rows[host] = (written, boots)
                 self._unsaved.discard(host)
 
     async def delete(self, hosts: Iterable[str]) -> None:
         """Delete the rows of hosts that are live with a newer boot."""
-        for host in [host for host in hosts if host in self._rows]:
+        for host in hosts:
+            # Calls overlap, so another may have deleted the row meanwhile.
+            if host not in self._rows:
+                continue
             revision, _ = self._rows[host]
             if await self._commit(host, revision, Delete(DRAINS + host + BOOTS)):
-                self._rows.pop(host, None)
+                self._drop(host, revision)
 
     async def _commit(self, host: str, revision: int, write: Put | Delete) -> int:
         """Write if the row is as last read; returns 0 when it was not written."""
@@ -83,5 +87,10 @@
         if result.is_ok():
             return result.ok
         if result.error.key == expect.key and result.error.found_revision == 0:
-            self._rows.pop(host, None)
+            self._drop(host, revision)
         return 0
+
+    def _drop(self, host: str, revision: int) -> None:
+        """Forget a deleted row, unless a later one was read meanwhile."""
+        if self._rows.get(host, (0, ()))[0] == revision:
+            self._rows.pop(host, None)
