Doubt the order of boots until the host list was watched long enough

Ruled out: asking for two lists in a row (a list may stay behind for longer) and sharing the order of boots between peers (one wrong order spreads). Cost: for two minutes after its start a process uses a host that left and rebooted up to two minutes later.

--- a/libs/membership/src/bilberryhitch_membership/leaving.py
+++ b/libs/membership/src/bilberryhitch_membership/leaving.py
@@ -10,19 +10,18 @@
 from .entry_hosts import SILENT_S
 from .run_ledger import RunLedger
 
-HOST_LIST_LAG_S = 60.0  # longest lag of the host list that is allowed for
-
 
 class Leaving:
     """Drains, boots that the list called leaving, and runs that said so.
 
+    :param host_list_lag_s: longest lag of the host list that is allowed for
     :ivar drains_revision: store revision up to which all drains are known
     """
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(self, identity: Identity, host_list_lag_s: float) -> None:
         self._drains = Drains()
         self._boots: defaultdict[str, RunLedger] = defaultdict(
-            lambda: RunLedger(HOST_LIST_LAG_S, HOST_LIST_LAG_S)
+            lambda: RunLedger(host_list_lag_s, host_list_lag_s)
         )
         self._runs: defaultdict[str, RunLedger] = defaultdict(
             lambda: RunLedger(SILENT_S)
--- a/libs/membership/src/bilberryhitch_membership/membership.py
+++ b/libs/membership/src/bilberryhitch_membership/membership.py
@@ -22,6 +22,7 @@
 DRAIN_POLL_S = 1.0
 HOST_LIST_POLL_S = 2.0
 GREETING_S = 3.0  # a fresh process sends heartbeats to everybody for this long
+HOST_LIST_LAG_S = 60.0
 FORGET_S = 3600.0
 CATCH_UP_NOTICES = 64  # most notices sent to one peer for one of its heartbeats
 
@@ -45,6 +46,7 @@
     :param broadcast: sends a message to every peer
     :param send: sends a message to one peer; without it heartbeats are broadcast
     :param peers: entry hosts of the settings
+    :param host_list_lag_s: longest lag of the host list that is allowed for
     :param vitals: contents of the heartbeats that other services provide
     """
 
@@ -60,6 +62,7 @@
         send: Callable[[str, Message], bool] | None = None,
         peers: Sequence[PeerAddress] = (),
         vitals: Callable[[], Vitals] = Vitals,
+        host_list_lag_s: float = HOST_LIST_LAG_S,
     ) -> None:
         self._identity = identity
         self._tables = tables
@@ -75,7 +78,7 @@
         self._listed: dict[str, Host] = {}
         self._list_poll = 0
         self._list_applied = 0
-        self._leaving = Leaving(identity)
+        self._leaving = Leaving(identity, host_list_lag_s)
         self._boot_rows = BootRows(tables, new_id)
         self._cursors: defaultdict[str, int] = defaultdict(int)
         self._boot_row_keeper = Poller(DRAIN_POLL_S, self._keep_boot_rows)
--- a/libs/membership/src/bilberryhitch_membership/run_ledger.py
+++ b/libs/membership/src/bilberryhitch_membership/run_ledger.py
@@ -11,15 +11,17 @@
     and a known one only once the newest was not shown for ``silence_s``.
 
     :param silence_s: longest time for which a source may show an older run
-    :param hold_s: how long the newest run shown counts as leaving after a run
-        never shown here was closed, because the source may lag behind the
-        closer's; 0 for no hold
+    :param hold_s: longest lag of the source, or 0 when it does not lag. For this
+        long after a run never shown here was closed, the newest run shown counts
+        as leaving too, because it may be the older of the two. So it does while
+        the source was not watched for long enough to know the order of runs
     """
 
     def __init__(self, silence_s: float, hold_s: float = 0.0) -> None:
         self._silence_s = silence_s
         self._hold_s = hold_s
         self._seen: list[str] = []
+        self._first_s: float | None = None
         self._shown_s = 0.0
         self._closed: dict[str, None] = {}
         self._held_until_s = 0.0
@@ -31,6 +33,8 @@
 
     def observe(self, run: str, now_s: float) -> None:
         """Note that the source shows ``run``."""
+        if self._first_s is None:
+            self._first_s = now_s
         if run != self.current:
             if run in self._seen:
                 if now_s - self._shown_s < self._silence_s:
@@ -59,10 +63,16 @@
         """Whether the newest run is leaving, or may be."""
         if self.current is None or self.current in self._closed:
             return bool(self._closed)
-        return now_s < self._held_until_s and any(
-            run not in self._seen for run in self._closed
-        )
+        if now_s < self._held_until_s and not self._closed.keys() <= {*self._seen}:
+            return True
+        return bool(self._closed) and self._is_order_doubtful(now_s)
 
     def marks(self, now_s: float) -> tuple[str, ...]:
         """Return the leaving runs, unless the newest run is not leaving."""
         return tuple(sorted(self._closed)) if self.is_leaving(now_s) else ()
+
+    def _is_order_doubtful(self, now_s: float) -> bool:
+        """Whether a run shown first may still be newer than one shown later."""
+        if not self._hold_s or self._first_s is None:
+            return False
+        return now_s < self._first_s + self._hold_s + self._silence_s
--- /dev/null
+++ b/libs/membership/tests/test_boot_rows.py
@@ -0,0 +1,48 @@
+import asyncio
+from itertools import count
+
+from bilberryhitch_membership.boot_rows import BootRows
+from bilberryhitch_platform import MemoryTables
+from bilberryhitch_testing import FaultyTables, run_virtual
+
+
+def rows_of(tables):
+    numbers = count()
+    return BootRows(tables, lambda: f"op-{next(numbers)}")
+
+
+def test_overlapping_deletions_of_the_same_rows():
+    # Guards against a KeyError in the later call, which ended it unseen.
+    async def main():
+        tables = FaultyTables(MemoryTables())
+        rows = rows_of(tables)
+        for host in ("w1", "w2"):
+            rows.must_save(host)
+        await rows.save(lambda host: ("b1",))
+        tables.slow_s = 1.5
+        first = asyncio.create_task(rows.delete(["w1", "w2"]))
+        await asyncio.sleep(0.1)
+        tables.slow_s = 4.0
+        second = asyncio.create_task(rows.delete(["w1", "w2"]))
+        await asyncio.sleep(0.1)
+        tables.slow_s = 0.0
+        await asyncio.gather(first, second)
+        assert not rows.has("w1") and not rows.has("w2")
+        assert (await tables.scan("drains/")).rows == ()
+
+    run_virtual(main())
+
+
+def test_what_could_not_be_saved_is_saved_later():
+    async def main():
+        tables = FaultyTables(MemoryTables())
+        rows = rows_of(tables)
+        rows.must_save("w1")
+        tables.down = True
+        await rows.save(lambda host: ("b1",))
+        tables.down = False
+        await rows.save(lambda host: ("b1",))
+        row = await tables.get("drains/w1/boots")
+        assert rows.read(row) == ("w1", ("b1",))
+
+    run_virtual(main())
--- a/libs/membership/tests/test_run_ledger.py
+++ b/libs/membership/tests/test_run_ledger.py
@@ -51,10 +51,25 @@
     assert ledger.is_leaving(159.0)
     assert not ledger.is_leaving(161.0)
     ledger.observe("b2", 162.0)
+    assert ledger.is_leaving(162.0)
     ledger.observe("b3", 163.0)
     assert not ledger.is_leaving(163.0)
 
 
+def test_the_order_of_runs_is_doubted_at_first():
+    # Guards against a fresh process that takes an older boot, shown by a list
+    # that flaps between fresh and lagging, for a reboot after a leave.
+    ledger = RunLedger(silence_s=60.0, hold_s=60.0)
+    ledger.observe("b2", 0.0)
+    ledger.close("b2", 0.0)
+    ledger.observe("b1", 2.0)
+    assert ledger.is_leaving(60.0)
+    ledger.observe("b2", 61.9)
+    assert ledger.current == "b1"
+    ledger.observe("b2", 62.1)
+    assert ledger.is_leaving(999.0)
+
+
 def test_runs_are_bounded():
     ledger = ledger_of()
     for number in range(100):
