--- a/tests/machines/request_machine.py
+++ b/tests/machines/request_machine.py
@@ -35,23 +35,27 @@
         self.world = World()
         self.counts.histories += 1
 
+    def step(self):
+        self.counts.steps += 1
+
     def fault(self):
+        self.step()
         self.counts.faults += 1
 
     @rule(host=HOSTS, route=st.sampled_from(["once", "twice"]), times=st.integers(1, 5))
     def submit(self, host, route, times):
-        self.counts.steps += 1
+        self.step()
         for _ in range(times):
             self.world.submit(host, route)
 
     @rule(host=HOSTS, route=st.sampled_from(["once", "once", "twice"]), key=KEYS)
     def submit_keyed(self, host, route, key):
-        self.counts.steps += 1
+        self.step()
         self.world.submit(host, route, f"{route}-{key}")
 
     @rule(seconds=PAUSES_S)
     def advance(self, seconds):
-        self.counts.steps += 1
+        self.step()
         self.world.advance(seconds)
 
     @rule(executor=st.sampled_from(EXECUTORS), kind=EXECUTOR_FAULTS)
@@ -119,6 +123,7 @@
 
     @rule(host=HOSTS)
     def ask_status(self, host):
+        self.step()
         for handle in list(self.world.handles)[-2:]:
             self.world.ask(host, handle)
 
