Send to a peer before polling its socket

Polling first cost a poller registration per message; most sends succeed at once. NOBLOCK still decides each send before the task is suspended.

--- a/libs/peers/src/bilberryhitch_peers/outbox.py
+++ b/libs/peers/src/bilberryhitch_peers/outbox.py
@@ -93,27 +93,27 @@
             if not self._queue:
                 self._filled.clear()
                 continue
-            await self._writable.poll()
-            self._send_first()
+            # Polling costs more than a send, and most sends succeed at once.
+            if not self._send_first():
+                await self._writable.poll()
 
-    def _send_first(self) -> None:
-        """Send the first message, if it was not withdrawn meanwhile.
+    def _send_first(self) -> bool:
+        """Send the first message; ``False`` when no connection takes it now.
 
         With ``NOBLOCK`` the send is decided before this task is suspended, so a
         message is never both withdrawn and sent.
         """
-        if not self._queue:
-            return
         outgoing = self._queue[0]
         sending = cast(
             "asyncio.Future[object]",
             self._socket.send_multipart(outgoing.frames, flags=zmq.NOBLOCK),
         )
         if sending.exception() is not None:
-            return
+            return False
         self._queue.popleft()
         outgoing.state = SendState.SENT
         self._one_less()
+        return True
 
     def _one_less(self) -> None:
         self._waiting -= 1
