--- a/libs/membership/src/bilberryhitch_membership/__init__.py
+++ b/libs/membership/src/bilberryhitch_membership/__init__.py
@@ -1,8 +1,9 @@
 """Live and leaving hosts: heartbeats, host list and drains."""
 
 from .drains import DrainAudit, DrainRecord, DrainRow
-from .membership import Membership, Vitals
+from .membership import Membership
 from .rendezvous import owner, ranked
+from .vitals import Vitals
 
 __all__ = [
     "DrainAudit",
--- a/libs/membership/src/bilberryhitch_membership/boot_rows.py
+++ b/libs/membership/src/bilberryhitch_membership/boot_rows.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from bilberryhitch_model.errors import StoreError
+from bilberryhitch_peers import DrainNotice
 from bilberryhitch_platform import Delete, Expect, Put, Row, TableService, commit
 from msgspec import DecodeError, json
 
@@ -25,25 +26,23 @@
         self._rows: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._unsaved: set[str] = set()
 
-    def read(self, row: Row) -> tuple[str, tuple[str, ...]] | None:
-        """Note a row.
+    @property
+    def hosts(self) -> list[str]:
+        """Hosts whose row was read and not seen deleted."""
+        return list(self._rows)
 
-        :returns: host and its leaving boots, or ``None`` for other rows
-        """
+    def read(self, row: Row) -> list[DrainNotice]:
+        """Note a row and return what it says; nothing for other rows."""
         if not row.key.endswith(BOOTS):
-            return None
+            return []
         host = row.key.removeprefix(DRAINS).removesuffix(BOOTS)
         try:
             boots = tuple(json.decode(row.value, type=list[str]))
         except DecodeError:
-            return None
+            return []
         if row.revision > self._rows.get(host, (0, ()))[0]:
             self._rows[host] = (row.revision, boots)
-        return host, boots
-
-    def has(self, host: str) -> bool:
-        """Whether a row of the host was read and not seen deleted."""
-        return host in self._rows
+        return [DrainNotice(host, True, 0, boot_id=boot) for boot in boots]
 
     def must_save(self, host: str) -> None:
         """Note that this process learned from the list that a host leaves."""
--- a/libs/membership/src/bilberryhitch_membership/drains.py
+++ b/libs/membership/src/bilberryhitch_membership/drains.py
@@ -94,16 +94,16 @@
     return rows, complete_to
 
 
-def drain_of(row: Row) -> DrainNotice | None:
-    """Return the notice a drain row stands for, or ``None`` for other rows."""
+def drains_of(row: Row) -> list[DrainNotice]:
+    """Return the notice a drain row stands for; nothing for other rows."""
     host = row.key.removeprefix(DRAINS)
     try:
         drain = from_plain(DrainRow, json.decode(row.value))
     except (BadInput, DecodeError):
-        return None
+        return []
     if drain.host != host:
-        return None
-    return DrainNotice(host, drain.leaving, row.revision)
+        return []
+    return [DrainNotice(host, drain.leaving, row.revision)]
 
 
 async def write_drain(
--- a/libs/membership/src/bilberryhitch_membership/leaving.py
+++ b/libs/membership/src/bilberryhitch_membership/leaving.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections import defaultdict
+from collections.abc import Container
 
 from bilberryhitch_model import Host, Identity
 from bilberryhitch_peers import DrainNotice, Heartbeat
@@ -52,20 +53,23 @@
         runs.observe(incarnation, now_s)
         return runs.current == incarnation
 
-    def observe_boot(self, host: str, boot_id: str, now_s: float) -> None:
+    def observe_boot(self, host: Host, now_s: float) -> None:
         """Note the boot that the host list shows."""
-        self._last_news_s[host] = now_s
-        boots = self._boots[host]
-        boots.observe(boot_id, now_s)
+        self._last_news_s[host.name] = now_s
+        boots = self._boots[host.name]
+        boots.observe(host.boot_id, now_s)
         if boots.is_leaving(now_s):
-            self._marked.add(host)
-
-    def forget(self, before_s: float) -> None:
-        """Drop the runs of hosts of which nothing was heard since; drains stay."""
-        gone = [host for host, at_s in self._last_news_s.items() if at_s < before_s]
-        for host in gone:
-            del self._last_news_s[host]
-            if host != self._me:
+            self._marked.add(host.name)
+
+    def forget(self, before_s: float, listed: Container[str]) -> None:
+        """Drop the runs of hosts that are gone; drains stay.
+
+        :param before_s: nothing was heard of the host since this loop time
+        :param listed: hosts that are kept because the host list shows them
+        """
+        for host, at_s in list(self._last_news_s.items()):
+            if at_s < before_s and host not in listed and host != self._me:
+                del self._last_news_s[host]
                 self._boots.pop(host, None)
                 self._runs.pop(host, None)
 
--- a/libs/membership/src/bilberryhitch_membership/membership.py
+++ b/libs/membership/src/bilberryhitch_membership/membership.py
@@ -2,21 +2,21 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Callable, Sequence
 
 from bilberryhitch_model import Host, Identity, PeerAddress
 from bilberryhitch_model.errors import StoreError
 from bilberryhitch_peers import DrainNotice, Heartbeat, Message
-from bilberryhitch_platform import HostList, Row, TableService
+from bilberryhitch_platform import HostList, TableService
 from expression import Result
 
 from .boot_rows import BootRows
-from .drains import DrainRecord, DrainRow, drain_of, read_rows, write_drain
+from .drains import DrainRecord, DrainRow, drains_of, read_rows, write_drain
 from .entry_hosts import EntryHosts
 from .leaving import Leaving
 from .polling import Poller
 from .rendezvous import owner
+from .vitals import Vitals
 
 HEARTBEAT_S = 0.5
 DRAIN_POLL_S = 1.0
@@ -24,17 +24,10 @@
 GREETING_S = 3.0  # a fresh process sends heartbeats to everybody for this long
 HOST_LIST_LAG_S = 60.0
 FORGET_S = 3600.0
+FORGET_POLL_S = 60.0
 CATCH_UP_NOTICES = 64  # most notices sent to one peer for one of its heartbeats
 
 
-class Vitals(NamedTuple):
-    """What other services add to the heartbeats; see ``Heartbeat``."""
-
-    config_revision: int = 0
-    usage: Mapping[str, float] = {}
-    free_slots: Mapping[str, int] = {}
-
-
 class Membership:
     """Hosts by heartbeat, host list and drains; a hint, never a promise.
 
@@ -76,6 +69,7 @@
         self._started_s = 0.0
         self._entry = EntryHosts(identity, self._peers, self._started_s)
         self._listed: dict[str, Host] = {}
+        self._listed_s = 0.0
         self._list_poll = 0
         self._list_applied = 0
         self._leaving = Leaving(identity, host_list_lag_s)
@@ -86,6 +80,7 @@
             Poller(DRAIN_POLL_S, self._poll_drains),
             Poller(HOST_LIST_POLL_S, self._poll_host_list),
             self._boot_row_keeper,
+            Poller(FORGET_POLL_S, self._forget_gone),
         )
         self._heartbeats: asyncio.Task[None] | None = None
 
@@ -218,8 +213,6 @@
     async def _send_heartbeats(self) -> None:
         while True:
             self.fan_out(self._heartbeat())
-            self._entry.forget(self._time_s() - FORGET_S)
-            self._leaving.forget(self._time_s() - FORGET_S)
             await asyncio.sleep(HEARTBEAT_S)
 
     def _heartbeat(self) -> Heartbeat:
@@ -242,19 +235,14 @@
         since = self._leaving.drains_revision
         rows, complete_to = await read_rows(self._tables, since)
         for row in rows:
-            self._read_row(row)
+            for notice in (*drains_of(row), *self._boot_rows.read(row)):
+                self._learn(notice)
         self._leaving.drains_revision = max(self._leaving.drains_revision, complete_to)
 
-    def _read_row(self, row: Row) -> None:
-        boots = self._boot_rows.read(row)
-        if boots is not None:
-            host, boot_ids = boots
-            for boot_id in boot_ids:
-                self._learn(DrainNotice(host, True, 0, boot_id=boot_id))
-            return
-        notice = drain_of(row)
-        if notice is not None:
-            self._learn(notice)
+    async def _forget_gone(self) -> None:
+        before_s = self._time_s() - FORGET_S
+        self._entry.forget(before_s)
+        self._leaving.forget(before_s, self._listed)
 
     async def _poll_host_list(self) -> None:
         self._list_poll += 1
@@ -266,25 +254,33 @@
         self._apply_list(hosts)
 
     def _apply_list(self, hosts: Sequence[Host]) -> None:
-        self._listed = {host.name: host for host in hosts}
+        before, self._listed = self._listed, {host.name: host for host in hosts}
         self._entry.set_listed(hosts)
         for host in hosts:
-            self._leaving.observe_boot(host.name, host.boot_id, self._time_s())
+            # Most of the rows are as before; with thousands of them, looking
+            # closer at each was most of what control cost in processor time.
+            row_before = before.get(host.name)
+            if row_before == host and host.state == "live":
+                continue
+            if row_before is not None:
+                self._leaving.observe_boot(row_before, self._listed_s)
+            self._leaving.observe_boot(host, self._time_s())
             if host.state == "live":
                 continue
             if self._learn(DrainNotice(host.name, True, 0, boot_id=host.boot_id)):
                 self._boot_rows.must_save(host.name)
                 self._boot_row_keeper.poll_now()
+        self._listed_s = self._time_s()
 
     async def _keep_boot_rows(self) -> None:
         """Save what this process learned from the list; delete what is over."""
         await self._boot_rows.save(self._boot_marks)
-        reopened = [host for host in self._listed if self._is_reopened(host)]
-        await self._boot_rows.delete(reopened)
+        stored = self._boot_rows.hosts
+        await self._boot_rows.delete(filter(self._is_reopened, stored))
 
     def _is_reopened(self, host: str) -> bool:
         """Whether this process deletes the row of a host with a newer boot."""
-        if not self._boot_rows.has(host) or self._boot_marks(host):
+        if host not in self._listed or self._boot_marks(host):
             return False
         me = self._identity
         return owner(host, self.entry_hosts(me.data_centre) or [me.host]) == me.host
--- /dev/null
+++ b/libs/membership/src/bilberryhitch_membership/vitals.py
@@ -0,0 +1,12 @@
+"""What other services tell peers through the heartbeats."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+
+class Vitals(NamedTuple):
+    """Fields of :class:`~bilberryhitch_peers.Heartbeat` of the same names."""
+
+    config_revision: int = 0
+    usage: Mapping[str, float] = {}
+    free_slots: Mapping[str, int] = {}
--- a/libs/membership/tests/test_boot_rows.py
+++ b/libs/membership/tests/test_boot_rows.py
@@ -2,6 +2,7 @@
 from itertools import count
 
 from bilberryhitch_membership.boot_rows import BootRows
+from bilberryhitch_peers import DrainNotice
 from bilberryhitch_platform import MemoryTables
 from bilberryhitch_testing import FaultyTables, run_virtual
 
@@ -27,7 +28,7 @@
         await asyncio.sleep(0.1)
         tables.slow_s = 0.0
         await asyncio.gather(first, second)
-        assert not rows.has("w1") and not rows.has("w2")
+        assert rows.hosts == []
         assert (await tables.scan("drains/")).rows == ()
 
     run_virtual(main())
@@ -43,6 +44,6 @@
         tables.down = False
         await rows.save(lambda host: ("b1",))
         row = await tables.get("drains/w1/boots")
-        assert rows.read(row) == ("w1", ("b1",))
+        assert rows.read(row) == [DrainNotice("w1", True, 0, boot_id="b1")]
 
     run_virtual(main())
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -146,6 +146,35 @@
         assert len(cluster.members["e1"].endpoints("worker", "ruwi")) == 1
 
 
+@virtual
+async def test_what_is_known_of_listed_hosts_is_kept_and_of_others_dropped():
+    # Guards against a drained boot that is offered again after an hour.
+    async with Cluster(["e1"]) as cluster:
+        cluster.hosts.set_host(W1._replace(state="leaving"))
+        cluster.hosts.set_host(W1._replace(name="w2"))
+        await asyncio.sleep(4.0)
+        cluster.hosts.set_host(W1)
+        cluster.hosts.remove_host("w2")
+        await asyncio.sleep(8000.0)
+        assert cluster.members["e1"].is_leaving("w1")
+        assert "w2" not in cluster.members["e1"]._leaving._boots
+
+
+@virtual
+async def test_an_older_boot_listed_after_a_long_quiet_time_is_not_believed():
+    # Guards against the time of the last list being taken for that of the
+    # last change, which would let an older boot replace the newest.
+    async with Cluster(["e1"]) as cluster:
+        await asyncio.sleep(200.0)
+        cluster.hosts.set_host(W1._replace(boot_id="b2"))
+        await asyncio.sleep(200.0)
+        cluster.hosts.set_host(W1._replace(boot_id="b2", state="leaving"))
+        await asyncio.sleep(3.0)
+        cluster.hosts.set_host(W1)
+        await asyncio.sleep(3.0)
+        assert cluster.members["e1"].endpoints("worker", "ruwi") == []
+
+
 @virtual
 async def test_the_heartbeat_of_an_earlier_run_is_ignored():
     async with Cluster() as cluster:
