Let waiting planner transactions share a commit

Cause: every planner transaction expects and rewrites the lease row, so they went one by one, and with a slow store a burst of start marks outlived the 10 s reservations. Ruled out: marks without the planner row, which would lose the fence against a replaced planner. A conflict of one transaction is found by trying each alone.

--- a/libs/gangs/src/bilberryhitch_gangs/context.py
+++ b/libs/gangs/src/bilberryhitch_gangs/context.py
@@ -15,8 +15,9 @@
 
 from .gang import Gang
 from .job_rows import JobRow, get_job, job_key, job_of_attempt, pool_prefix, put_job
-from .planner_lease import STORE_RETRY_S, PlannerLease
+from .planner_lease import PlannerLease
 from .pool_scheduler import PoolScheduler
+from .settled_commit import STORE_RETRY_S
 from .worker_client import WorkerClient
 from .worker_health import WorkerHealth
 
--- a/libs/gangs/src/bilberryhitch_gangs/job_accept.py
+++ b/libs/gangs/src/bilberryhitch_gangs/job_accept.py
@@ -26,7 +26,7 @@
 
 from .job_checks import call_digest, check_call, check_fits
 from .job_rows import ClaimRow, claim_key, get_job, job_key, make_job_id, put_job
-from .planner_lease import commit_settled
+from .settled_commit import commit_settled
 
 SETTLE_S = 3.0
 
--- a/libs/gangs/src/bilberryhitch_gangs/jobs.py
+++ b/libs/gangs/src/bilberryhitch_gangs/jobs.py
@@ -45,8 +45,9 @@
     put_job,
 )
 from .job_waits import JobWaits
-from .planner_lease import PlannerRow, commit_settled, planner_key
+from .planner_lease import PlannerRow, planner_key
 from .reclaim import CANCELLED_BETWEEN, CANCELLED_QUEUED
+from .settled_commit import commit_settled
 
 # A stop is certain one lease term and one call time-out after the last renewal.
 CANCEL_WAIT_S = 12.0
--- a/libs/gangs/src/bilberryhitch_gangs/planner_lease.py
+++ b/libs/gangs/src/bilberryhitch_gangs/planner_lease.py
@@ -8,7 +8,6 @@
 from bilberryhitch_model import Identity, decode, encode
 from bilberryhitch_model.errors import (
     BilberryhitchError,
-    StoreAnswerLost,
     StoreConflict,
     StoreError,
     StoreUnavailable,
@@ -19,16 +18,17 @@
     Row,
     TableService,
     Write,
-    abandon,
     commit,
 )
-from expression import Ok, Result
+from expression import Result
+
+from .settled_commit import commit_settled
+from .transaction_batch import WaitingTransaction, take_batch
 
 LAPSE_S = 3.0
 RENEW_S = 1.0
 WATCH_S = 0.5
 RANK_DELAY_S = 0.5
-STORE_RETRY_S = 0.5
 EPOCH_KEY = "planners/epoch"
 
 
@@ -71,37 +71,6 @@
     return sum(1 for name in set(hosts) - {host} if weight(name) > own)
 
 
-async def commit_settled(
-    tables: TableService,
-    expects: Sequence[Expect],
-    writes: Sequence[Write],
-    operation_id: str,
-    deadline_s: float = float("inf"),
-) -> Result[int, StoreConflict]:
-    """Apply a transaction and find out whether it applied.
-
-    :param deadline_s: how long a lost answer is looked into, in seconds
-    :raises StoreUnavailable: it was never applied and never will be
-    :raises StoreAnswerLost: still uncertain at the deadline
-    """
-    loop = asyncio.get_running_loop()
-    until = loop.time() + deadline_s
-    try:
-        return await commit(tables, expects, writes, operation_id)
-    except StoreAnswerLost:
-        pass
-    while loop.time() < until:
-        try:
-            settled = await abandon(tables, operation_id)
-        except StoreError:
-            await asyncio.sleep(STORE_RETRY_S)
-            continue
-        if settled.is_ok():
-            raise StoreUnavailable(operation_id)
-        return Ok(settled.error.revision)
-    raise StoreAnswerLost(operation_id)
-
-
 class PlannerLease:
     """Acquires, keeps and releases the planner row of one pool.
 
@@ -131,6 +100,7 @@
         # Every transaction of the planner expects and rewrites the lease row,
         # so two of them at once would make one conflict.
         self._lock = asyncio.Lock()
+        self._waiting: list[WaitingTransaction] = []
         self.store_up = True
 
     @property
@@ -184,17 +154,20 @@
     ) -> Result[int, StoreConflict]:
         """Apply a transaction only while this process holds the row.
 
-        It renews the lease as well.
+        It renews the lease as well. Transactions that wait while another is on
+        its way share the next commit: with a slow store, a burst of starts
+        would otherwise outlive its reservations.
 
         :raises PlannerLost: another holder's row was found; nothing was written
         :raises StoreUnavailable: nothing was written
         """
-        async with self._lock:
-            while True:
-                result = await self._transact_once(expects, writes)
-                if result.is_ok() or result.error.key != self._key:
-                    return result
-                await self._confirm()
+        own = WaitingTransaction(expects, writes)
+        self._waiting.append(own)
+        while not own.decided:
+            async with self._lock:
+                if not own.decided:
+                    await self._run_batch(take_batch(self._waiting))
+        return own.outcome()
 
     async def raise_epoch(self) -> None:
         """Take the next epoch while holding the row.
@@ -222,6 +195,36 @@
             except StoreError:
                 return
 
+    async def _run_batch(self, batch: list[WaitingTransaction]) -> None:
+        """Decide every transaction of a batch."""
+        expects = [expect for each in batch for expect in each.expects]
+        writes = [write for each in batch for write in each.writes]
+        try:
+            result = await self._transact_held(expects, writes)
+            for each in batch:
+                # A conflict of one refuses all; the others are tried alone.
+                if result.is_error() and len(batch) > 1:
+                    each.result = await self._transact_held(each.expects, each.writes)
+                else:
+                    each.result = result
+        except (PlannerLost, StoreUnavailable) as error:
+            _refuse(batch, error)
+        except asyncio.CancelledError:
+            # What was on its way may have applied. Losing the tenure makes the
+            # planner read every row again.
+            _refuse(batch, PlannerLost(self._pool, self._row.epoch))
+            raise
+
+    async def _transact_held(
+        self, expects: Sequence[Expect], writes: Sequence[Write]
+    ) -> Result[int, StoreConflict]:
+        """Apply a transaction, again if only this process's own row moved."""
+        while True:
+            result = await self._transact_once(expects, writes)
+            if result.is_ok() or result.error.key != self._key:
+                return result
+            await self._confirm()
+
     async def _transact_once(
         self, expects: Sequence[Expect], writes: Sequence[Write]
     ) -> Result[int, StoreConflict]:
@@ -272,5 +275,11 @@
         self._written_at = asyncio.get_running_loop().time()
 
 
+def _refuse(batch: list[WaitingTransaction], error: BilberryhitchError) -> None:
+    for each in batch:
+        if not each.decided:
+            each.error = error
+
+
 def _is_free(row: Row | None) -> bool:
     return row is None or not decode(PlannerRow, row.value).holder
--- a/libs/gangs/src/bilberryhitch_gangs/reconcile.py
+++ b/libs/gangs/src/bilberryhitch_gangs/reconcile.py
@@ -10,7 +10,7 @@
 from .gang_run import follow
 from .gang_start import note_stale
 from .job_rows import JobRow, scan_jobs
-from .planner_lease import STORE_RETRY_S
+from .settled_commit import STORE_RETRY_S
 from .worker_client import WorkerView
 
 
--- a/libs/gangs/tests/test_planner_lease.py
+++ b/libs/gangs/tests/test_planner_lease.py
@@ -1,16 +1,17 @@
+import asyncio
 import itertools
 
 import pytest
 from bilberryhitch_gangs.planner_lease import (
     PlannerLease,
     PlannerLost,
-    commit_settled,
     planner_key,
     rank,
 )
+from bilberryhitch_gangs.settled_commit import commit_settled
 from bilberryhitch_model import Identity
 from bilberryhitch_model.errors import StoreAnswerLost, StoreUnavailable
-from bilberryhitch_platform import MemoryTables, Put
+from bilberryhitch_platform import Expect, MemoryTables, Put
 from bilberryhitch_testing import FaultyTables, VirtualTimeLoop
 
 KEY = planner_key("ruwi", "gpu")
@@ -151,3 +152,68 @@
     # Guards against two candidates of the same rank.
     hosts = [f"e{i}" for i in range(7)]
     assert sorted(rank(hosts, "ruwi", "gpu", host) for host in hosts) == list(range(7))
+
+
+def test_waiting_transactions_share_a_commit(loop):
+    # Guards against a burst of starts that outlives its reservations.
+    tables = FaultyTables(MemoryTables())
+    lease = take_over(loop, tables)
+    tables.slow_s, before = 0.1, tables.writes
+
+    async def burst():
+        writes = [lease.transact((), [Put(f"x{i}", b"")]) for i in range(40)]
+        return await asyncio.gather(*writes)
+
+    results = loop.run_until_complete(burst())
+    assert all(result.is_ok() for result in results)
+    assert tables.writes - before == 2
+
+
+def test_conflict_of_one_transaction_leaves_the_others(loop):
+    # Guards against starts that are undone for another job's cancellation.
+    tables = FaultyTables(MemoryTables())
+    lease = take_over(loop, tables)
+    tables.slow_s = 0.1
+
+    async def burst():
+        stale = [Expect("x2", 99)]
+        writes = [
+            lease.transact(stale if i == 2 else (), [Put(f"x{i}", b"")])
+            for i in range(5)
+        ]
+        return await asyncio.gather(*writes)
+
+    results = loop.run_until_complete(burst())
+    assert [result.is_ok() for result in results] == [True, True, False, True, True]
+
+
+def test_transactions_on_one_row_never_share_a_commit(loop):
+    # Guards against two changes that expect the same revision and both apply.
+    tables = FaultyTables(MemoryTables())
+    lease = take_over(loop, tables)
+    tables.slow_s = 0.1
+
+    async def burst():
+        expects, writes = [Expect("x", 0)], [Put("x", b"")]
+        return await asyncio.gather(
+            *(lease.transact(expects, writes) for _ in range(4))
+        )
+
+    results = loop.run_until_complete(burst())
+    assert sum(result.is_ok() for result in results) == 1
+
+
+def test_burst_of_a_replaced_holder_writes_nothing(loop):
+    # Guards against a shared commit that passes the check of the lease row.
+    inner = MemoryTables()
+    tables = FaultyTables(inner)
+    old = take_over(loop, tables, "a")
+    take_over(loop, inner, "b")
+
+    async def burst():
+        writes = [old.transact((), [Put(f"x{i}", b"")]) for i in range(5)]
+        return await asyncio.gather(*writes, return_exceptions=True)
+
+    results = loop.run_until_complete(burst())
+    assert all(isinstance(result, PlannerLost) for result in results)
+    assert loop.run_until_complete(inner.scan("x")).rows == ()
