--- /dev/null
+++ b/libs/gangs/tests/test_tenure.py
@@ -0,0 +1,133 @@
+import pytest
+from bilberryhitch_gangs.planner_lease import PlannerLease
+from bilberryhitch_model import Identity
+from bilberryhitch_model.errors import QueueFull
+from expression import Error
+
+from tests.machines.first_fit_point2_gangs import FirstFit
+from tests.machines.world_point2_gangs import CENTRE, World
+
+
+@pytest.fixture
+def world():
+    world = World(processes=1, workers=2)
+    yield world
+    world.close()
+
+
+def starts(world, host, since=0.0):
+    return [
+        event.attempt_id
+        for event in world.events()
+        if event.kind == "start" and event.host == host and event.at >= since
+    ]
+
+
+def test_higher_token_on_a_worker_raises_the_epoch(world):
+    # Guards against a worker from another pool that refuses this one for ever.
+    world.advance(3)
+    for pool in ("p1", "p2", "p3"):
+        identity = Identity("x", CENTRE, "x-1")
+        lease = PlannerLease(identity, pool, world.store, new_id=world.new_id)
+        world.run(lease.acquire(lambda: 0))
+    world.workers["w0"].model.renew(lease.epoch, [], 0.0)
+    world.advance(15)
+    job = world.submit(world.call(tasks=2, accelerators=4, seconds=2.0)).ok.job_id
+    world.advance(10)
+    record = world.records()[job]
+    assert record.status == "completed" and record.epoch > lease.epoch
+
+
+def test_worker_with_another_pools_task_is_left_alone(world):
+    # Guards against cutting a running task off from its own planner.
+    model = world.workers["w0"].model
+    other = "ruwi.other.j/1/1"
+    model.reserve(other, 1, accelerators=(0,), cores=1, memory_gb=1, term_s=40.0)
+    model.start(other, 1, '{"seconds": 20}')
+    world.advance(3)
+    world.submit(world.call(accelerators=4, seconds=1.0))
+    world.submit(world.call(accelerators=4, seconds=1.0))
+    world.advance(15)
+    assert starts(world, "w0") == [other]
+    assert len(starts(world, "w1")) == 2
+    world.advance(10)
+    world.submit(world.call(tasks=2, accelerators=4, seconds=1.0))
+    world.advance(8)
+    assert len(starts(world, "w0")) == 2
+
+
+def test_worker_that_fails_everything_is_quarantined_and_probed(world):
+    # Guards against jobs that fail for a worker, and a worker that stays out.
+    world.advance(3)
+    model = world.workers["w0"].model
+    model.fail_everything = True
+    for _ in range(4):
+        world.submit(world.call(accelerators=4, seconds=1.0))
+        world.advance(10)
+    failed = [attempt for attempt in starts(world, "w0") if "probe" not in attempt]
+    assert len(failed) == 2
+    statuses = [record.status for record in world.records().values()]
+    assert statuses == ["completed"] * 4
+    model.fail_everything = False
+    world.advance(40)
+    since = world.loop.time()
+    world.submit(world.call(tasks=2, accelerators=4, seconds=1.0))
+    world.advance(8)
+    assert len(starts(world, "w0", since)) == 1
+
+
+@pytest.mark.parametrize(
+    ("route", "attempts", "workers"), [("any", 2, 2), ("once", 1, 1)]
+)
+def test_failing_job_is_its_own_failure(world, route, attempts, workers):
+    # Guards against a faulty job that is tried without end, or billed twice.
+    world.advance(3)
+    job = world.submit(world.call(route, seconds=1.0, fail=True)).ok.job_id
+    world.advance(30)
+    record = world.records()[job]
+    assert (record.status, record.state) == ("failed", "finished")
+    assert len(record.failed_on) == attempts
+    assert len(set(record.failed_on)) == workers
+    again = world.submit(world.call(tasks=2, accelerators=4, seconds=1.0)).ok.job_id
+    world.advance(10)
+    assert world.records()[again].status == "completed"
+
+
+def test_job_that_the_scheduler_refuses_is_not_run(world, monkeypatch):
+    # Guards against an accepted job that waits in no queue.
+    full = Error(QueueFull("gpu", 1, 5.0))
+    monkeypatch.setattr(FirstFit, "submit", lambda *_: full)
+    world.advance(3)
+    job = world.submit(world.call()).ok.job_id
+    world.advance(3)
+    assert world.records()[job].status == "not_run"
+    assert world.events() == []
+
+
+def test_restarted_worker_gives_the_job_its_next_attempt(world):
+    # Guards against a lost gang that is waited for.
+    world.advance(3)
+    job = world.submit(world.call(accelerators=4, seconds=4.0)).ok.job_id
+    world.advance(2)
+    world.workers["w0"].model.restart()
+    world.advance(15)
+    record = world.records()[job]
+    assert (record.status, record.attempt) == ("completed", 2)
+
+
+def test_store_outage_keeps_gangs_and_delays_outcomes(world):
+    # Guards against gangs that end with the store, and outcomes that are lost.
+    world.advance(3)
+    process = world.processes["a"]
+    short = world.submit(world.call(accelerators=4, seconds=5.0)).ok.job_id
+    long = world.submit(world.call(accelerators=4, seconds=60.0)).ok.job_id
+    world.advance(2)
+    process.tables.down = True
+    world.advance(45)
+    assert world.records()[short].state == "started"
+    process.tables.down = False
+    world.advance(5)
+    assert world.records()[short].status == "completed"
+    world.advance(30)
+    assert world.records()[long].attempt == 1
+    assert world.records()[long].status == "completed"
