--- a/libs/membership/src/bilberryhitch_membership/membership.py
+++ b/libs/membership/src/bilberryhitch_membership/membership.py
@@ -22,6 +22,7 @@
 DRAIN_POLL_S = 1.0
 HOST_LIST_POLL_S = 2.0
 GREETING_S = 3.0  # a fresh process sends heartbeats to everybody for this long
+HOST_LIST_LAG_S = 60.0
 FORGET_S = 3600.0
 CATCH_UP_NOTICES = 64  # most notices sent to one peer for one of its heartbeats
 
@@ -45,6 +46,7 @@
     :param broadcast: sends a message to every peer
     :param send: sends a message to one peer; without it heartbeats are broadcast
     :param peers: entry hosts of the settings
+    :param host_list_lag_s: longest lag of the host list that is allowed for
     :param vitals: contents of the heartbeats that other services provide
     """
 
@@ -60,6 +62,7 @@
         send: Callable[[str, Message], bool] | None = None,
         peers: Sequence[PeerAddress] = (),
         vitals: Callable[[], Vitals] = Vitals,
+        host_list_lag_s: float = HOST_LIST_LAG_S,
     ) -> None:
         self._identity = identity
         self._tables = tables
@@ -75,7 +78,7 @@
         self._listed: dict[str, Host] = {}
         self._list_poll = 0
         self._list_applied = 0
-        self._leaving = Leaving(identity)
+        self._leaving = Leaving(identity, host_list_lag_s)
         self._boot_rows = BootRows(tables, new_id)
         self._cursors: defaultdict[str, int] = defaultdict(int)
         self._boot_row_keeper = Poller(DRAIN_POLL_S, self._keep_boot_rows)
@@ -203,7 +206,7 @@
 
     def _catch_up(self, heartbeat: Heartbeat) -> None:
         """Send a peer what its heartbeat shows it does not know."""
-        missing = self._leaving.missing_at(heartbeat)
+        missing = self._leaving.missing_at(heartbeat, self._time_s())
         if not missing or self._send is None:
             return
         # Successive heartbeats get successive parts of a long list.
@@ -232,7 +235,7 @@
             dict(vitals.usage),
             dict(vitals.free_slots),
             self._leaving.drains_revision,
-            self._leaving.digest(),
+            self._leaving.digest(self._time_s()),
         )
 
     async def _poll_drains(self) -> None:
@@ -275,16 +278,19 @@
 
     async def _keep_boot_rows(self) -> None:
         """Save what this process learned from the list; delete what is over."""
-        await self._boot_rows.save(self._leaving.boot_marks)
+        await self._boot_rows.save(self._boot_marks)
         reopened = [host for host in self._listed if self._is_reopened(host)]
         await self._boot_rows.delete(reopened)
 
     def _is_reopened(self, host: str) -> bool:
         """Whether this process deletes the row of a host with a newer boot."""
-        if self._leaving.boot_marks(host) or not self._boot_rows.has(host):
+        if not self._boot_rows.has(host) or self._boot_marks(host):
             return False
         me = self._identity
         return owner(host, self.entry_hosts(me.data_centre) or [me.host]) == me.host
 
+    def _boot_marks(self, host: str) -> tuple[str, ...]:
+        return self._leaving.boot_marks(host, self._time_s())
+
     def _time_s(self) -> float:
         return asyncio.get_running_loop().time()
--- a/libs/membership/tests/test_membership.py
+++ b/libs/membership/tests/test_membership.py
@@ -139,6 +139,7 @@
         cluster.hosts.set_host(W1)
         await asyncio.sleep(4.0)
         assert cluster.members["e1"].endpoints("worker", "ruwi") == []
+        await asyncio.sleep(120.0)
         cluster.hosts.set_host(W1._replace(boot_id="b2"))
         await asyncio.sleep(4.0)
         assert await cluster.inner.get("drains/w1/boots") is None
--- a/libs/scheduling/src/bilberryhitch_scheduling/starting.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/starting.py
@@ -4,8 +4,9 @@
 from functools import partial
 from itertools import chain
 
-from bilberryhitch_model import Member, Shape
+from bilberryhitch_model import Member, Placement, Shape
 
+from .adoption import Adoption, enter
 from .clearing import (
     evicted_work,
     fill_evicting,
@@ -41,6 +42,7 @@
         self.borrowing = True
         self._displace_job = displace
         self._estimates = estimates
+        self._adoption = Adoption(fleet, guarantees)
         self._failed: set[tuple[str, Shape]] = set()
 
     def forget_failures(self) -> None:
@@ -62,6 +64,20 @@
             return self._on_spare(job, may_preempt, now)
         return self._borrow(job, may_preempt, now)
 
+    def adopt(self, job: Job, placement: Placement, borrowed: bool) -> None:
+        """Take over a job that runs already; its cell is bound by :meth:`settle`."""
+        self._estimate(job)
+        job.firm = not borrowed
+        hosts = self.fleet.hosts
+        members = [member for member in placement.members if member.host in hosts]
+        self._assign(job, members, None)
+        if job.firm:
+            self._adoption.add(job, placement.cell)
+
+    def settle(self) -> list[Job]:
+        """Bind the cells of adopted jobs and return these jobs."""
+        return self._adoption.settle()
+
     def must_be_firm(self, job: Job) -> bool:
         """Return whether a job may not run where it can be evicted."""
         return not (job.queued.may_borrow and self.borrowing)
@@ -76,6 +92,8 @@
 
     def fits(self, job: Job, key: GuaranteeKey) -> bool:
         """Return whether a job fits into one cell of a guarantee."""
+        if job.shape.tasks * max(1, job.shape.accelerators) > key.accelerators:
+            return False  # the place of a cell may be larger than the guarantee
         capacity = self.fleet.tree.capacity(job.shape)
         kinds = self.guarantees.kinds(key)
         return any(capacity[kind] >= job.shape.tasks for kind in kinds)
@@ -84,20 +102,13 @@
         """Take back what a job holds; its cell is released after its last job."""
         cell = job.cell
         job.cell = None
+        self._adoption.forget(job)
         self.fleet.remove(job)
         if cell is not None:
             del cell.jobs[job.job_id]
             if not cell.jobs:
                 self.guarantees.unbind(cell)
 
-    def adopt(self, job: Job, members: tuple[Member, ...], borrowed: bool) -> None:
-        """Take over a job that runs already."""
-        self._estimate(job)
-        job.firm = not borrowed
-        known = tuple(m for m in members if m.host in self.fleet.hosts)
-        bound = self._cell_around(job, known) if job.firm else None
-        self._assign(job, list(known), bound)
-
     def _estimate(self, job: Job) -> None:
         row = job.queued
         ask = (row.client_account, row.kind, row.declared_s)
@@ -109,10 +120,9 @@
     ) -> dict[str, None]:
         self._displace(members)
         found = victims(self.fleet, members, job.shape)
-        job.cell = bound
-        job.guaranteed = bound is not None
+        job.guaranteed = False
         if bound is not None:
-            bound.jobs[job.job_id] = None
+            enter(job, bound)
         self.fleet.place(job, members)
         return found
 
@@ -137,7 +147,7 @@
             job.firm = True
             for bound in self.guarantees.usable(key):
                 members = fill_evicting(self.fleet, bound.cell, job.shape)
-                if members is not None:
+                if members is not None and self._within(bound, members):
                     return self._assign(job, members, bound)
             found = self._bind(job, key, now)
             if found is not None:
@@ -159,11 +169,27 @@
                     continue
                 bound = self.guarantees.bind(key, cell)
                 members = fill_evicting(self.fleet, cell, job.shape)
-                if members is not None and self._holds(before):
+                within = members is not None and self._within(bound, members)
+                if members is not None and within and self._holds(before):
                     return self._assign(job, members, bound)
                 self.guarantees.unbind(bound)
         return None
 
+    def _within(self, bound: BoundCell, members: list[Member]) -> bool:
+        """Return whether the account stays within its cell and its guarantee.
+
+        After a guarantee shrank, its account may hold more than it is allowed.
+        """
+        added = sum(len(member.accelerators) for member in members)
+        key = bound.key
+        if self._used_in(bound) + added > key.accelerators:
+            return False
+        held = sum(map(self._used_in, self.guarantees.bound_to(key)))
+        return held + added <= self.guarantees.allowed(key)
+
+    def _used_in(self, bound: BoundCell) -> int:
+        return sum(self.fleet.jobs[job_id].occupied for job_id in bound.jobs)
+
     def _whole_groups(self, shape: Shape) -> Iterator[list[int]]:
         clear = self.fleet.clear
         for group in search(self.fleet.tree, clear, shape):
@@ -240,32 +266,3 @@
 
     def _admits(self, reservation: Reservation, job: Job, now: float) -> bool:
         return self.reservations.admits(reservation, now, job.expected_p90_s)
-
-    def _cell_around(self, job: Job, members: tuple[Member, ...]) -> BoundCell | None:
-        """Find or bind the guaranteed cell that an adopted job runs in."""
-        taken = [a for member in members for a in self.fleet.accelerators(member)]
-        if not taken:
-            return None
-        tree = self.fleet.tree
-        for key in self.guarantees.keys(job.queued.client_account):
-            cell = tree.leaves[min(taken)]
-            while cell >= 0:
-                row = tree.cells[cell]
-                if max(taken) < row.start + row.size:
-                    bound = self.guarantees.bound_at(cell)
-                    if bound is not None and bound.key == key:
-                        return bound
-                    if row.kind in self.guarantees.kinds(key) and bound is None:
-                        return self._bind_adopted(key, cell)
-                cell = row.parent
-        return None
-
-    def _bind_adopted(self, key: GuaranteeKey, cell: int) -> BoundCell | None:
-        if self.fleet.clear.taken[cell] or not self.guarantees.can_bind(key):
-            return None
-        before = self.guarantees.shortage()
-        bound = self.guarantees.bind(key, cell)
-        if self._holds(before):
-            return bound
-        self.guarantees.unbind(bound)
-        return None
