--- a/libs/scheduling/src/bilberryhitch_scheduling/reservations.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/reservations.py
@@ -11,6 +11,7 @@
 from .jobs import Job
 
 RESERVATIONS_MAX = 4  # gangs that wait with a reservation in one pool
+SHARE_MAX = 0.5  # of the workers; beyond it only existing reservations go on
 OVERDUE_S = 60.0  # after its first estimate a reservation admits no backfill
 CELLS_COMPARED = 64  # cells examined for one reservation, emptiest first
 OVERRUN = 0.25  # a job beyond its p90 is expected to run this much longer
@@ -20,10 +21,11 @@
     """Workers kept for a gang.
 
     :ivar at: when they are expected to be free, in loop seconds
+    :ivar firm_hosts: workers among them that borrowers alone do not occupy
     :ivar first_at: the first such estimate; later ones do not move it
     """
 
-    __slots__ = ("at", "first_at", "held", "hosts", "job")
+    __slots__ = ("at", "firm_hosts", "first_at", "held", "hosts", "job")
 
     def __init__(self, job: Job, hosts: tuple[str, ...], at: float) -> None:
         self.job = job
@@ -31,6 +33,7 @@
         self.at = at
         self.first_at = at
         self.held = False
+        self.firm_hosts = 0
 
 
 class Reservations:
@@ -50,7 +53,14 @@
     @property
     def full(self) -> bool:
         """Whether no further gang gets a reservation."""
-        return len(self._by_job) >= RESERVATIONS_MAX
+        enough = len(self._by_job) >= RESERVATIONS_MAX
+        return enough or len(self._hosts) > SHARE_MAX * len(self._fleet.hosts)
+
+    def touches(self, cell: int) -> bool:
+        """Return whether a cell lies on a reserved worker."""
+        if not self._hosts:
+            return False
+        return any(host in self._hosts for host, _ in self._fleet.tree.hosts_in(cell))
 
     def reserve(self, job: Job, now: float) -> bool:
         """Reserve the workers that are expected to be free first.
@@ -62,6 +72,7 @@
             return False
         at, hosts = found
         reservation = Reservation(job, hosts, at)
+        reservation.firm_hosts = self._firm_hosts(hosts)
         self._by_job[job.job_id] = reservation
         self._hosts.update(hosts)
         self.hold(reservation, True)
@@ -76,9 +87,9 @@
         self._hosts.difference_update(reservation.hosts)
 
     def refresh(self, now: float) -> None:
-        """Renew the estimates; move a reservation whose workers take no work."""
+        """Renew the estimates; move a reservation that lost workers to guarantees."""
         for reservation in list(self._by_job.values()):
-            if not all(self._fleet.usable(host) for host in reservation.hosts):
+            if self._firm_hosts(reservation.hosts) > reservation.firm_hosts:
                 first_at = reservation.first_at
                 self.drop(reservation.job.job_id)
                 if self.reserve(reservation.job, now):
@@ -126,22 +137,32 @@
         self, cell: int, job: Job, now: float
     ) -> tuple[float, tuple[str, ...]] | None:
         times = sorted(
-            (self._free_at(host, now), position, host)
+            (self._is_firm(host), self._free_at(host, now), position, host)
             for position, (host, _) in enumerate(self._fleet.tree.hosts_in(cell))
             if host not in self._hosts and self._fleet.usable(host)
         )
         left = job.shape.tasks
         hosts: list[str] = []
-        for at, _, host in times:
+        latest = now
+        for _, at, _, host in times:
             per_task = self._fleet.per_task(host, job.shape)
             if not per_task:
                 continue
             hosts.append(host)
+            latest = max(latest, at)
             left -= self._fleet.tree.profiles[host].accelerators // per_task
             if left <= 0:
-                return at, tuple(hosts)
+                return latest, tuple(hosts)
         return None
 
+    def _firm_hosts(self, hosts: tuple[str, ...]) -> int:
+        return sum(map(self._is_firm, hosts))
+
+    def _is_firm(self, host: str) -> bool:
+        """A guaranteed cell is often used again at once, or the worker is lost."""
+        clear = self._fleet.clear
+        return any(map(clear.is_taken, self._fleet.tree.accelerators_of(host)))
+
     def _free_at(self, host: str, now: float) -> float:
         use = self._fleet.hosts[host]
         return max((self._end(job, now) for job in self._using(use)), default=now)
--- a/libs/scheduling/src/bilberryhitch_scheduling/starting.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/starting.py
@@ -156,8 +156,17 @@
         return None
 
     def _bind(self, job: Job, key: GuaranteeKey, now: float) -> dict[str, None] | None:
+        """Bind a cell, on workers that no gang has reserved if there are such."""
         if not self.guarantees.can_bind(key):
             return None
+        found = self._bind_cell(job, key, now, avoid_reserved=True)
+        if found is None:
+            found = self._bind_cell(job, key, now, avoid_reserved=False)
+        return found
+
+    def _bind_cell(
+        self, job: Job, key: GuaranteeKey, now: float, *, avoid_reserved: bool
+    ) -> dict[str, None] | None:
         capacity = self.fleet.tree.capacity(job.shape)
         shape = self.fleet.tree.guarantee_shape(key.accelerators)
         before = self.guarantees.shortage()
@@ -167,6 +176,8 @@
                 kind = self.fleet.tree.cells[cell].kind
                 if capacity[kind] < job.shape.tasks:
                     continue
+                if avoid_reserved and self.reservations.touches(cell):
+                    continue
                 bound = self.guarantees.bind(key, cell)
                 members = fill_evicting(self.fleet, cell, job.shape)
                 within = members is not None and self._within(bound, members)
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement programs; each appends JSON lines under ``measures/``."""
