Prefer cells without borrowers, and evict the least work over all cells

An eviction is also charged the cost of another start, else a gang that just began is always the cheapest.

--- a/libs/scheduling/src/bilberryhitch_scheduling/clearing.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/clearing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from functools import partial
+from itertools import chain, islice
 
 from bilberryhitch_model import Member, Shape
 
@@ -28,7 +29,7 @@
 
 
 def preempting_places(fleet: Fleet, shape: Shape, now: float) -> Iterator[list[Member]]:
-    """Yield places outside bound cells that evictions of borrowers clear."""
+    """Yield places outside bound cells that evictions clear, least work first."""
     left = clearable_left(fleet, lambda owner: not (owner.firm or owner.urgent))
 
     def outside(cell: int) -> int:
@@ -38,13 +39,11 @@
         return sum(outside(child) for child in children)
 
     work = partial(evicted_work, fleet, now=now)
-    for number, group in enumerate(search(fleet.tree, fleet.clear, shape)):
-        if number >= GROUPS_TRIED:
-            return
-        for cell in sorted(group, key=work):
-            members = fill(fleet, outside, cell, shape)
-            if members is not None:
-                yield members
+    groups = islice(search(fleet.tree, fleet.clear, shape), GROUPS_TRIED)
+    for cell in sorted(chain.from_iterable(groups), key=work):
+        members = fill(fleet, outside, cell, shape)
+        if members is not None:
+            yield members
 
 
 def fill_evicting(fleet: Fleet, cell: int, shape: Shape) -> list[Member] | None:
--- a/libs/scheduling/src/bilberryhitch_scheduling/jobs.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/jobs.py
@@ -7,6 +7,9 @@
 from .fair_groups import Entry
 from .guarantees import BoundCell
 
+# A gang that just began would else be the cheapest to evict, and never finish.
+RESTART_S = 60.0
+
 JobStage = Literal["queued", "clearing", "starting", "running"]
 
 
@@ -86,5 +89,5 @@
         return sum(len(member.accelerators) for member in self.members)
 
     def work_done(self, now: float) -> float:
-        """Return what an eviction now would lose, in accelerator seconds."""
-        return self.size * max(0.0, now - self.started_at)
+        """Return what an eviction now costs, in accelerator seconds."""
+        return self.size * (RESTART_S + max(0.0, now - self.started_at))
--- a/libs/scheduling/src/bilberryhitch_scheduling/reservations.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/reservations.py
@@ -56,12 +56,6 @@
         enough = len(self._by_job) >= RESERVATIONS_MAX
         return enough or len(self._hosts) > SHARE_MAX * len(self._fleet.hosts)
 
-    def touches(self, cell: int) -> bool:
-        """Return whether a cell lies on a reserved worker."""
-        if not self._hosts:
-            return False
-        return any(host in self._hosts for host, _ in self._fleet.tree.hosts_in(cell))
-
     def reserve(self, job: Job, now: float) -> bool:
         """Reserve the workers that are expected to be free first.
 
--- a/libs/scheduling/src/bilberryhitch_scheduling/starting.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/starting.py
@@ -156,34 +156,47 @@
         return None
 
     def _bind(self, job: Job, key: GuaranteeKey, now: float) -> dict[str, None] | None:
-        """Bind a cell, on workers that no gang has reserved if there are such."""
+        """Bind a cell: one that nobody uses or reserved, else by least eviction.
+
+        Cells that split equally much are compared by the work that borrowers in them
+        would lose. A cell without borrowers is preferred to all others, since a
+        large gang would else be evicted for one small job.
+        """
         if not self.guarantees.can_bind(key):
             return None
-        found = self._bind_cell(job, key, now, avoid_reserved=True)
-        if found is None:
-            found = self._bind_cell(job, key, now, avoid_reserved=False)
-        return found
+        before = self.guarantees.shortage()
+        cells: list[int] = []
+        for cell in self._whole_cells(job, key):
+            if not self.fleet.free.taken[cell]:
+                found = self._bind_at(job, key, cell, before)
+                if found is not None:
+                    return found
+            cells.append(cell)
+        for cell in sorted(cells, key=partial(evicted_work, self.fleet, now=now)):
+            found = self._bind_at(job, key, cell, before)
+            if found is not None:
+                return found
+        return None
 
-    def _bind_cell(
-        self, job: Job, key: GuaranteeKey, now: float, *, avoid_reserved: bool
+    def _whole_cells(self, job: Job, key: GuaranteeKey) -> Iterator[int]:
+        """Yield cells for a guarantee, those that split least first."""
+        tree, clear = self.fleet.tree, self.fleet.clear
+        capacity = tree.capacity(job.shape)
+        shape = tree.guarantee_shape(key.accelerators)
+        for group in search(tree, clear, shape):
+            for cell in group:
+                kind = tree.cells[cell].kind
+                if not clear.taken[cell] and capacity[kind] >= job.shape.tasks:
+                    yield cell
+
+    def _bind_at(
+        self, job: Job, key: GuaranteeKey, cell: int, before: tuple[int, ...]
     ) -> dict[str, None] | None:
-        capacity = self.fleet.tree.capacity(job.shape)
-        shape = self.fleet.tree.guarantee_shape(key.accelerators)
-        before = self.guarantees.shortage()
-        work = partial(evicted_work, self.fleet, now=now)
-        for group in self._whole_groups(shape):
-            for cell in sorted(group, key=work):
-                kind = self.fleet.tree.cells[cell].kind
-                if capacity[kind] < job.shape.tasks:
-                    continue
-                if avoid_reserved and self.reservations.touches(cell):
-                    continue
-                bound = self.guarantees.bind(key, cell)
-                members = fill_evicting(self.fleet, cell, job.shape)
-                within = members is not None and self._within(bound, members)
-                if members is not None and within and self._holds(before):
-                    return self._assign(job, members, bound)
-                self.guarantees.unbind(bound)
+        bound = self.guarantees.bind(key, cell)
+        members = fill_evicting(self.fleet, cell, job.shape)
+        if members is not None and self._within(bound, members) and self._holds(before):
+            return self._assign(job, members, bound)
+        self.guarantees.unbind(bound)
         return None
 
     def _within(self, bound: BoundCell, members: list[Member]) -> bool:
@@ -201,13 +214,6 @@
     def _used_in(self, bound: BoundCell) -> int:
         return sum(self.fleet.jobs[job_id].occupied for job_id in bound.jobs)
 
-    def _whole_groups(self, shape: Shape) -> Iterator[list[int]]:
-        clear = self.fleet.clear
-        for group in search(self.fleet.tree, clear, shape):
-            whole = [cell for cell in group if not clear.taken[cell]]
-            if whole:
-                yield whole
-
     def _holds(self, before: tuple[int, ...]) -> bool:
         after = self.guarantees.shortage()
         return all(now <= then for now, then in zip(after, before, strict=True))
