--- a/libs/gangs/src/bilberryhitch_gangs/job_rows.py
+++ b/libs/gangs/src/bilberryhitch_gangs/job_rows.py
@@ -3,6 +3,7 @@
 import re
 from typing import NamedTuple
 
+import msgspec
 from bilberryhitch_model import JobRecord, decode, encode
 from bilberryhitch_platform import Put, Row, TableService
 
@@ -101,18 +102,34 @@
 
 
 async def scan_jobs(
-    tables: TableService, prefix: str, since: int
+    tables: TableService, prefix: str, since: int, *, unfinished: bool = False
 ) -> tuple[list[JobRow], int]:
     """Return job rows written after ``since``, with the revision to go on from.
 
     Rows written while pages are read may appear again in the next scan.
 
+    :param unfinished: leave out finished jobs, which far outnumber the others
     :raises StoreUnavailable: the store did not answer
     """
     page = await tables.scan(prefix, since)
     upto = page.revision
-    rows = list(page.rows)
-    while page.more:
-        page = await tables.scan(prefix, since, after=rows[-1].key)
-        rows.extend(page.rows)
-    return [read_row(row) for row in rows], upto
+    rows: list[JobRow] = []
+    while True:
+        wanted = (row for row in page.rows if not (unfinished and _is_finished(row)))
+        rows.extend(map(read_row, wanted))
+        if not page.more:
+            return rows, upto
+        page = await tables.scan(prefix, since, after=page.rows[-1].key)
+
+
+class _Stage(msgspec.Struct):
+    """The one field that is read of a row before the whole is decoded."""
+
+    state: str = ""
+
+
+def _is_finished(row: Row) -> bool:
+    try:
+        return msgspec.json.decode(row.value, type=_Stage).state == "finished"
+    except msgspec.MsgspecError:
+        return False
--- a/libs/gangs/src/bilberryhitch_gangs/reconcile.py
+++ b/libs/gangs/src/bilberryhitch_gangs/reconcile.py
@@ -15,7 +15,7 @@
 
 
 async def reconcile(context: PlannerContext, at: float) -> int:
-    """Read every job, fence the workers of started ones, adopt or end gangs.
+    """Read every unfinished job, fence the workers of started ones, adopt or end gangs.
 
     The rows are read after the lease row was taken, so no start mark of an
     earlier planner can appear later. The workers are fenced before their
@@ -25,10 +25,9 @@
     :returns: the store revision up to which rows were read
     """
     rows, upto = await _read_rows(context)
-    unfinished = [row for row in rows if row.record.state != "finished"]
-    for row in unfinished:
+    for row in rows:
         context.note_row(row)
-    started = [row for row in unfinished if row.record.state == "started"]
+    started = [row for row in rows if row.record.state == "started"]
     views = await _fence(context, started)
     for row in started:
         _adopt(context, row, views, at)
@@ -54,7 +53,7 @@
 async def _read_rows(context: PlannerContext) -> tuple[list[JobRow], int]:
     while True:
         try:
-            return await scan_jobs(context.tables, context.prefix, 0)
+            return await scan_jobs(context.tables, context.prefix, 0, unfinished=True)
         except StoreUnavailable:
             await asyncio.sleep(STORE_RETRY_S)
 
