--- /dev/null
+++ b/measure/control_cost.py
@@ -0,0 +1,213 @@
+"""Measures what control costs an entry host, by number of entry hosts.
+
+Run ``python -m measure.control_cost --seed 1``; prints one JSON line for each
+size and one with least-squares slopes. Each size runs in a process of its own,
+with all its entry hosts in it, on real peer links over loopback and an in-memory
+table service. Figures are per entry host; bytes are those of the messages, without
+the headers of ZeroMQ and TCP.
+"""
+
+import argparse
+import asyncio
+import json
+import multiprocessing
+import random
+import resource
+from collections.abc import Sequence
+from itertools import count
+from typing import NamedTuple
+
+import psutil
+from bilberryhitch_membership import Membership, Vitals
+from bilberryhitch_model import Address, Host, Identity, PeerAddress
+from bilberryhitch_peers import DrainNotice, Heartbeat, Message, PeerLink
+from bilberryhitch_platform import MemoryHostList, MemoryTables
+from bilberryhitch_testing import FaultyTables
+
+SIZES = (2, 4, 8, 16, 40)
+SETTLE_S = 4.0  # past the greeting and the first polls
+MEASURE_S = 5.0
+HOSTS_PER_DATA_CENTRE = 8
+WORKERS = 3000
+ACCOUNTS = 4
+LOOPBACK = Address("127.0.0.1", 0)
+BYTES_PER_MB = 1_000_000
+
+
+class Sample(NamedTuple):
+    """Counters of the whole process at one time."""
+
+    at_s: float
+    cpu_s: float
+    sent: int
+    sent_bytes: int
+    reads: int
+
+
+class EntryHost:
+    """One entry host: a link, a membership and its counted store."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: MemoryTables,
+        hosts: MemoryHostList,
+        vitals: Vitals,
+    ) -> None:
+        numbers = count()
+        self.identity = identity
+        self.tables = FaultyTables(store)
+        self.link = PeerLink(identity, LOOPBACK, [], self._handle)
+        self.membership = Membership(
+            identity,
+            self.tables,
+            hosts,
+            now=lambda: 0.0,
+            new_id=lambda: f"{identity.incarnation}-{next(numbers)}",
+            broadcast=self.link.broadcast,
+            send=self.link.send,
+            vitals=lambda: vitals,
+        )
+
+    async def _handle(self, sender: str, message: Message) -> Message | None:
+        if isinstance(message, Heartbeat):
+            self.membership.hear(message)
+        elif isinstance(message, DrainNotice):
+            self.membership.hear_drain(message)
+        return None
+
+
+def usage_of(accounts: int) -> Vitals:
+    """Return what a heartbeat carries for a number of client accounts."""
+    return Vitals(1, {f"p/account-{n}": 123.5 for n in range(accounts)}, {"p": 8})
+
+
+def worker_list(rng: random.Random) -> MemoryHostList:
+    """Return the host list of the target size."""
+    workers = [
+        Host(f"w{n}", "worker", "dc0", f"10.0.0.1:{n}", boot_id=f"{rng.random()}")
+        for n in range(WORKERS)
+    ]
+    return MemoryHostList(workers)
+
+
+async def start_hosts(size: int, rng: random.Random, vitals: Vitals) -> list[EntryHost]:
+    """Start ``size`` entry hosts that know each other."""
+    store = MemoryTables()
+    host_list = worker_list(rng)
+    hosts: list[EntryHost] = []
+    addresses: list[PeerAddress] = []
+    for number in range(size):
+        name = f"e{number}"
+        data_centre = f"dc{number // HOSTS_PER_DATA_CENTRE}"
+        identity = Identity(name, data_centre, f"{name}-1")
+        host = EntryHost(identity, store, host_list, vitals)
+        address = await host.link.start()
+        hosts.append(host)
+        addresses.append(PeerAddress(name, data_centre, address))
+        host_list.set_host(Host(name, "entry", data_centre, "", boot_id="1"))
+    for host in hosts:
+        host.link.set_peers(addresses)
+        await host.membership.start()
+    return hosts
+
+
+def sample(hosts: Sequence[EntryHost]) -> Sample:
+    """Read the counters."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return Sample(
+        asyncio.get_running_loop().time(),
+        usage.ru_utime + usage.ru_stime,
+        sum(host.link.counts.sent for host in hosts),
+        sum(host.link.counts.sent_bytes for host in hosts),
+        sum(host.tables.reads for host in hosts),
+    )
+
+
+def uss_mb() -> float:
+    """Return the memory that belongs to this process alone, in MB."""
+    return float(psutil.Process().memory_full_info().uss) / BYTES_PER_MB
+
+
+async def measure_size(size: int, seed: int, accounts: int) -> dict[str, float]:
+    """Run ``size`` entry hosts and return what one of them costs."""
+    empty_mb = uss_mb()
+    hosts = await start_hosts(size, random.Random(seed), usage_of(accounts))
+    try:
+        await asyncio.sleep(SETTLE_S)
+        first = sample(hosts)
+        await asyncio.sleep(MEASURE_S)
+        last = sample(hosts)
+        live = min(
+            len(host.membership.entry_hosts(host.identity.data_centre))
+            for host in hosts
+        )
+        used_mb = uss_mb() - empty_mb
+    finally:
+        await asyncio.gather(*(host.membership.close() for host in hosts))
+        await asyncio.gather(*(host.link.close() for host in hosts))
+    host_seconds = size * (last.at_s - first.at_s)
+    return {
+        "entry_hosts": size,
+        "accounts": accounts,
+        "cpu_s_per_s": round((last.cpu_s - first.cpu_s) / host_seconds, 5),
+        "uss_mb": round(used_mb / size, 3),
+        "uss_of_empty_process_mb": round(empty_mb, 1),
+        "messages_sent_per_s": round((last.sent - first.sent) / host_seconds, 2),
+        "bytes_sent_per_s": round(
+            (last.sent_bytes - first.sent_bytes) / host_seconds, 1
+        ),
+        "table_reads_per_s": round((last.reads - first.reads) / host_seconds, 3),
+        "fewest_live_seen": live,
+    }
+
+
+def measure_apart(size: int, seed: int, accounts: int) -> dict[str, float]:
+    """Measure a size in a new process, whose memory no earlier size has used."""
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(1) as pool:
+        return pool.apply(run_size, (size, seed, accounts))
+
+
+def run_size(size: int, seed: int, accounts: int) -> dict[str, float]:
+    """Run :func:`measure_size` on a new event loop."""
+    return asyncio.run(measure_size(size, seed, accounts))
+
+
+def fit(lines: Sequence[dict[str, float]], figure: str) -> dict[str, float]:
+    """Fit a figure against the number of entry hosts by least squares.
+
+    :returns: slope, intercept and root mean square of the residuals
+    """
+    points = [(line["entry_hosts"], line[figure]) for line in lines]
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    squares = sum((y - slope * x - intercept) ** 2 for x, y in points)
+    return {
+        "slope": float(f"{slope:.4g}"),
+        "intercept": float(f"{intercept:.4g}"),
+        "residual_rms": float(f"{(squares / len(points)) ** 0.5:.4g}"),
+    }
+
+
+def main() -> None:
+    """Measure every size and print the lines."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1, help="seed of the host list")
+    parser.add_argument(
+        "--accounts", type=int, default=ACCOUNTS, help="client accounts with usage"
+    )
+    options = parser.parse_args()
+    lines = []
+    for size in SIZES:
+        lines.append(measure_apart(size, options.seed, options.accounts))
+        print(json.dumps(lines[-1]), flush=True)
+    figures = ("cpu_s_per_s", "uss_mb", "bytes_sent_per_s", "table_reads_per_s")
+    print(json.dumps({figure: fit(lines, figure) for figure in figures}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
