--- a/libs/platform/src/bilberryhitch_platform/http_client.py
+++ b/libs/platform/src/bilberryhitch_platform/http_client.py
@@ -192,7 +192,7 @@
         for retry in range(READ_TRIES):
             try:
                 answer = await self._exchange("GET", path, query, None)
-                if answer.status in (HTTP_OK, HTTP_NOT_FOUND):
+                if answer.status == HTTP_OK or _is_absent(answer):
                     return answer
             except TRANSPORT_FAILURES:
                 pass
@@ -215,6 +215,11 @@
             return _Answer(response.status, content, no_effect)
 
 
+def _is_absent(answer: _Answer) -> bool:
+    """Whether the platform itself, not something before it, found nothing."""
+    return answer.status == HTTP_NOT_FOUND and answer.no_effect
+
+
 def _object_path(key: str) -> str:
     return "/v1/objects/" + quote(key, safe="")
 
