--- a/tests/machines/world_point6_leaving.py
+++ b/tests/machines/world_point6_leaving.py
@@ -7,11 +7,11 @@
 
 from bilberryhitch_membership import Membership
 from bilberryhitch_model import Host, Identity
-from bilberryhitch_model.errors import StoreError, StoreUnavailable
+from bilberryhitch_model.errors import StoreError
 from bilberryhitch_peers import Heartbeat
-from bilberryhitch_platform import Delete, MemoryTables
-from bilberryhitch_testing import FaultyTables, VirtualTimeLoop
+from bilberryhitch_testing import VirtualTimeLoop
 
+from .fakes_point6_leaving import ProcessHostList, ProcessTables, WatchedTables
 from .oracle_point6_leaving import Cause, LeavingOracle
 
 ENTRIES = {f"{dc}{n}": dc for dc in ("ruwi", "seeb") for n in (1, 2, 3)}
@@ -26,78 +26,6 @@
     membership: Membership
 
 
-class WatchedTables(MemoryTables):
-    """The store; tells the oracle when a drain is undone."""
-
-    def __init__(self, oracle):
-        super().__init__()
-        self._oracle = oracle
-
-    async def transact(self, expects, writes):
-        result = await super().transact(expects, writes)
-        for write in writes if result.is_ok() else ():
-            host = write.key.removeprefix("drains/")
-            if host not in TARGETS or isinstance(write, Delete):
-                continue
-            if not json.loads(write.value)["leaving"]:
-                self._oracle.undrained(host, result.ok)
-        return result
-
-
-class ProcessTables(FaultyTables):
-    """A process's view of the store; tells the oracle what it learned."""
-
-    def __init__(self, inner, learned):
-        super().__init__(inner)
-        self._learned = learned
-
-    async def scan(self, prefix, since=0, after="", limit=1000):
-        page = await super().scan(prefix, since, after, limit)
-        for row in page.rows:
-            host, _, boots = row.key.removeprefix("drains/").partition("/")
-            value = json.loads(row.value)
-            if boots:
-                for boot in value:
-                    self._learned(host, Cause("boot", boot))
-            elif value["leaving"]:
-                self._learned(host, Cause("drain", str(row.revision)))
-        return page
-
-
-class ProcessHostList:
-    """A process's view of the host list.
-
-    ``mode`` is ``true``, ``lag``, ``flap`` (lagging at every other call),
-    ``omit`` (without ``omitted``), ``live`` (leaving hosts shown live) or ``down``.
-    """
-
-    def __init__(self, world, process):
-        self._world = world
-        self._process = process
-        self.mode = "true"
-        self.lag_s = 5.0
-        self.omitted = "w1"
-        self._calls = 0
-
-    async def list_hosts(self):
-        await self._world.tables[self._process]._running.wait()
-        self._calls += 1
-        if self.mode == "down":
-            raise StoreUnavailable("list_hosts")
-        lags = self.mode == "lag" or (self.mode == "flap" and self._calls % 2)
-        hosts = self._world.snapshot(self.lag_s if lags else 0.0)
-        if self.mode == "omit":
-            hosts = [host for host in hosts if host.name != self.omitted]
-        if self.mode == "live":
-            hosts = [host._replace(state="live") for host in hosts]
-        for host in hosts:
-            if host.state == "leaving" and host.boot_id == self._world.boots[host.name]:
-                self._world.learned(
-                    self._process, host.name, Cause("boot", host.boot_id)
-                )
-        return hosts
-
-
 class World:
     """Six entry hosts in two data centres, two endpoint hosts, one store."""
 
@@ -107,7 +35,7 @@
         self.loop.set_exception_handler(self._keep_error)
         self._errors = []
         self.oracle = LeavingOracle(ENTRIES)
-        self.inner = WatchedTables(self.oracle)
+        self.inner = WatchedTables(self.oracle, TARGETS)
         self.boots = {name: f"{name}-b1" for name in TARGETS}
         self._hosts = {name: self._host(name) for name in TARGETS}
         self._snapshots = [(0.0, tuple(self._hosts.values()))]
