--- a/libs/scheduling/src/bilberryhitch_scheduling/cell_plans.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/cell_plans.py
@@ -16,12 +16,13 @@
 
 
 class CellPlan(NamedTuple):
-    """A cell before it is numbered."""
+    """A cell before it is numbered; ``grouped`` if it joins several racks."""
 
     profile: Profile | None
     children: "tuple[CellPlan, ...]"
     hosts: tuple[Host, ...]
     size: int
+    grouped: bool = False
 
 
 def plan_data_centre(hosts: list[Host]) -> CellPlan | None:
@@ -32,7 +33,7 @@
     level = [_plan_rack(racks[name]) for name in sorted(racks, key=_natural)]
     while len(level) > 1:
         pairs = range(0, len(level), 2)
-        level = [_join(level[start : start + 2]) for start in pairs]
+        level = [_join(level[start : start + 2], grouped=True) for start in pairs]
     return level[0] if level else None
 
 
@@ -66,11 +67,12 @@
     return CellPlan(profile, tuple(children), (host,), size)
 
 
-def _join(parts: Sequence[CellPlan]) -> CellPlan:
+def _join(parts: Sequence[CellPlan], *, grouped: bool = False) -> CellPlan:
     if len(parts) == 1:
         return parts[0]
     hosts = tuple(host for part in parts for host in part.hosts)
-    return CellPlan(None, tuple(parts), hosts, sum(part.size for part in parts))
+    size = sum(part.size for part in parts)
+    return CellPlan(None, tuple(parts), hosts, size, grouped)
 
 
 def _width(plan: CellPlan) -> int:
--- a/libs/scheduling/src/bilberryhitch_scheduling/cells.py
+++ b/libs/scheduling/src/bilberryhitch_scheduling/cells.py
@@ -19,6 +19,7 @@
 
     :param size: accelerators in the cell
     :param profile: the worker's profile for a cell within one worker
+    :param grouped: whether it joins several racks
     :param children: numbers of the kinds of the child cells, in order
     """
 
@@ -26,6 +27,7 @@
     size: int
     profile: Profile | None
     children: tuple[int, ...]
+    grouped: bool
 
 
 class Cell(NamedTuple):
@@ -80,7 +82,7 @@
         self.first: dict[str, int] = {}
         self.leaves: list[int] = []
         self.profiles: dict[str, Profile] = {}
-        self._interned: dict[tuple[int, Profile | None, tuple[int, ...]], int] = {}
+        self._interned: dict[tuple[object, ...], int] = {}
         self._capacity: dict[Shape, list[int]] = {}
         self._candidates: dict[Shape, tuple[int, ...]] = {}
         self._holders: dict[int, tuple[int, ...]] = {}
@@ -134,17 +136,21 @@
     def candidates(self, shape: Shape) -> tuple[int, ...]:
         """Return the smallest kinds of cells that can hold the gang, small first.
 
-        A gang is adjacent when it lies in one cell of such a kind.
+        A gang is adjacent when it lies in one cell of such a kind. A gang that no
+        rack holds may lie in any group of adjacent racks: the smallest aligned group
+        may be a large part of the data centre, and is hardly ever free.
         """
         found = self._candidates.get(shape)
         if found is None:
             capacity = self.capacity(shape)
+            holding = [k for k in self.kinds if capacity[k.number] >= shape.tasks]
             kinds = [
                 kind
-                for kind in self.kinds
-                if capacity[kind.number] >= shape.tasks
-                and all(capacity[child] < shape.tasks for child in kind.children)
+                for kind in holding
+                if all(capacity[child] < shape.tasks for child in kind.children)
             ]
+            if all(kind.grouped for kind in kinds):
+                kinds = holding
             kinds.sort(key=lambda kind: (kind.size, kind.number))
             found = tuple(kind.number for kind in kinds)
             self._candidates[shape] = found
@@ -209,11 +215,13 @@
         return cell.number
 
     def _intern(self, plan: CellPlan, children: tuple[int, ...]) -> int:
-        key = (plan.size, plan.profile, children)
+        key = (plan.grouped, plan.size, plan.profile, children)
         kind = self._interned.get(key)
         if kind is None:
             kind = self._interned[key] = len(self.kinds)
-            self.kinds.append(CellKind(kind, plan.size, plan.profile, children))
+            self.kinds.append(
+                CellKind(kind, plan.size, plan.profile, children, plan.grouped)
+            )
             self.by_kind.append([])
             inside: dict[int, int] = {}
             for child in children:
