--- a/libs/api/src/bilberryhitch_api/bodies.py
+++ b/libs/api/src/bilberryhitch_api/bodies.py
@@ -48,8 +48,10 @@
     return plain
 
 
-def query_number(request: web.Request, name: str, default: int, high: int) -> int:
-    """Return a whole number of the query, from 1 to ``high``.
+def query_number(
+    request: web.Request, name: str, default: int, high: int, *, low: int = 1
+) -> int:
+    """Return a whole number of the query, from ``low`` to ``high``.
 
     :raises BadInput: it is not such a number
     """
@@ -58,9 +60,9 @@
         return default
     # The length check keeps `int` away from texts of any size.
     if not (text.isascii() and text.isdigit() and len(text) <= len(str(high))):
-        raise BadInput(name, quote(text), f"is a number between 1 and {high}")
-    if not 1 <= int(text) <= high:
-        raise BadInput(name, quote(text), f"is a number between 1 and {high}")
+        raise BadInput(name, quote(text), f"is a number between {low} and {high}")
+    if not low <= int(text) <= high:
+        raise BadInput(name, quote(text), f"is a number between {low} and {high}")
     return int(text)
 
 
--- a/libs/config/src/bilberryhitch_config/rows.py
+++ b/libs/config/src/bilberryhitch_config/rows.py
@@ -103,6 +103,13 @@
     return [decode_change(row.value) for row in page.rows]
 
 
+async def read_history(tables: TableService, limit: int) -> list[ConfigChange]:
+    """Return the last accepted changes, newest first."""
+    head = await read_head(tables)
+    changes = await read_changes(tables, max(0, head.revision - limit), limit)
+    return changes[::-1]
+
+
 async def read_snapshot(tables: TableService) -> Tables:
     """Return both tables as one commit left them.
 
--- a/libs/config/src/bilberryhitch_config/service.py
+++ b/libs/config/src/bilberryhitch_config/service.py
@@ -3,13 +3,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from bilberryhitch_model import (
-    Commit,
-    ConfigChange,
-    Host,
-    TableChange,
-    Tables,
-)
+from bilberryhitch_model import Commit, ConfigChange, Host, TableChange, Tables
 from bilberryhitch_model.errors import (
     BadInput,
     ConfigConflict,
@@ -25,7 +19,7 @@
 from .adoption import NOTHING, RecentChanges, decode_offer, follow, frozen
 from .commits import ConfigError
 from .in_force import HostRevision, InForce
-from .rows import HeadRow, read_changes, read_head, read_snapshot
+from .rows import HeadRow, read_changes, read_head, read_history, read_snapshot
 
 # Beyond this many missing changes a snapshot is read or sent instead.
 MAX_CHANGES = 100
@@ -113,16 +107,16 @@
             leaves open whether the change was accepted; its operation id is
             that of the change in the history.
         """
+        based = await self._based_on(base_revision)
+        if based.is_error():
+            return self._refused(based.error, operator)
+        checked = commits.check(self._view, change, self._host_capacity())
+        if checked.is_error():
+            return self._refused(checked.error, operator)
+        proposal = commits.propose(
+            based.ok, change, operator, now=self._now, new_id=self._new_id
+        )
         try:
-            head = await self._caught_up_head()
-            if head.revision != base_revision or head.revision != self._view.revision:
-                return self._refused(await commits.conflict(self._tables), operator)
-            checked = commits.check(self._view, change, self._host_capacity())
-            if checked.is_error():
-                return self._refused(checked.error, operator)
-            proposal = commits.propose(
-                head, change, operator, now=self._now, new_id=self._new_id
-            )
             written = await commits.write(self._tables, proposal)
         except StoreError as error:
             return Error(error)
@@ -130,16 +124,18 @@
             return self._refused(written.error, operator)
         return Ok(self._accepted(written.ok))
 
+    async def tables_at(self, base_revision: int) -> Result[Tables, ConfigError]:
+        """Return the tables of a revision if it is the last accepted one."""
+        based = await self._based_on(base_revision)
+        return Error(based.error) if based.is_error() else Ok(self._view)
+
     async def check(
         self, change: TableChange, base_revision: int
     ) -> Result[Tables, ConfigError]:
         """Return the tables that a change would lead to, without committing."""
-        try:
-            head = await self._caught_up_head()
-            if head.revision != base_revision or head.revision != self._view.revision:
-                return Error(await commits.conflict(self._tables))
-        except StoreError as error:
-            return Error(error)
+        based = await self._based_on(base_revision)
+        if based.is_error():
+            return Error(based.error)
         checked = commits.check(self._view, change, self._host_capacity())
         return Error(checked.error) if checked.is_error() else Ok(checked.ok)
 
@@ -201,15 +197,18 @@
 
         :raises StoreUnavailable: the store cannot be read
         """
-        head = await read_head(self._tables)
-        since = max(0, head.revision - limit)
-        changes = await read_changes(self._tables, since, limit)
-        return changes[::-1]
-
-    async def _caught_up_head(self) -> HeadRow:
-        head = await read_head(self._tables)
-        await self._catch_up(head)
-        return head
+        return await read_history(self._tables, limit)
+
+    async def _based_on(self, revision: int) -> Result[HeadRow, ConfigError]:
+        """Return the head row if ``revision`` is accepted last and in force here."""
+        try:
+            head = await read_head(self._tables)
+            await self._catch_up(head)
+            if head.revision == revision == self._view.revision:
+                return Ok(head)
+            return Error(await commits.conflict(self._tables))
+        except StoreError as error:
+            return Error(error)
 
     async def _poll_forever(self) -> None:
         while True:
