--- a/libs/api/src/bilberryhitch_api/admin.py
+++ b/libs/api/src/bilberryhitch_api/admin.py
@@ -1,174 +1,229 @@
-"""HTTP handlers for operators: tables, drains, status, history and audit."""
+"""HTTP handlers for operators: tables, drains and the audit trail."""
 
-import hashlib
-import hmac
-from collections.abc import Awaitable, Callable, Mapping
-from http import HTTPStatus
-from typing import Any, Protocol
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 from aiohttp import web
-from bilberryhitch_config import AuditEntry, HostRevision
-from bilberryhitch_model import Host, quote, to_plain
-from bilberryhitch_model.errors import NotFound, StoreError, Unauthenticated
-from bilberryhitch_telemetry import events, log
+from bilberryhitch_config import AuditEntry, ConfigService
+from bilberryhitch_membership import Membership
+from bilberryhitch_model import (
+    Pool,
+    Route,
+    TableChange,
+    Tables,
+    encode,
+    parse_json,
+    parse_rows,
+    quote,
+)
+from bilberryhitch_model.errors import (
+    BadInput,
+    BilberryhitchError,
+    NotFound,
+    TableInvalid,
+)
 from expression import Result
 
-from .admin_tables import AdminLimits, Config, OperatorHandler, TableHandlers
-from .bodies import query_number
-from .errors import Handler, error_response
+from .bodies import query_number, read_body
+from .diff import TableDiff, diff_rows
+from .operator_auth import authenticate_operator
 
-AuditReader = Callable[[int], Awaitable[list[AuditEntry]]]
+MAX_LISTED = 1000
+DEFAULT_LISTED = 20
+MAX_REVISION = 2**53
+R = TypeVar("R", Route, Pool)
+ReadAudit = Callable[[int], Awaitable[list[AuditEntry]]]
 
-BEARER = "Bearer "
-DEFAULT_ENTRIES = 20
-MAX_ENTRIES = 1_000
-# Tokens are random texts of at most a few hundred characters.
-MAX_TOKEN = 4_096
 
+class Replacement(NamedTuple):
+    """A table's replacement as a change of rows."""
 
-class Drains(Protocol):
-    """What the handlers need of the membership."""
+    change: TableChange
+    difference: TableDiff
 
-    def hosts(self) -> list[Host]:
-        """Return all known hosts."""
 
-    async def drain(self, host: str, operator: str) -> Result[Any, StoreError]:
-        """Drain a host."""
+def admin_routes(
+    config: ConfigService,
+    membership: Membership,
+    read_audit: ReadAudit,
+    operators: Mapping[str, str],
+    *,
+    max_body_bytes: int,
+    max_rows: Mapping[str, int],
+) -> list[web.RouteDef]:
+    """Return the routes for operators.
 
-    async def undrain(self, host: str, operator: str) -> Result[Any, StoreError]:
-        """Undo a drain."""
+    :param read_audit: returns the last operator actions, newest first
+    :param operators: SHA-256 of the token in hexadecimal, by operator name
+    :param max_body_bytes: limit of a table's JSON, in bytes
+    :param max_rows: limit of each table, in rows
+    """
+    return [
+        *_table_routes(config, operators, max_body_bytes, max_rows),
+        *_status_routes(config, read_audit, operators),
+        *_drain_routes(membership, operators),
+    ]
 
 
-def admin_routes(
-    config: Config,
-    membership: Drains,
-    audit: AuditReader,
+def _table_routes(
+    config: ConfigService,
     operators: Mapping[str, str],
-    limits: AdminLimits,
+    max_body_bytes: int,
+    max_rows: Mapping[str, int],
 ) -> list[web.RouteDef]:
-    """Return the routes under ``/v1/admin/``.
+    async def get(request: web.Request) -> web.Response:
+        authenticate_operator(request, operators)
+        tables = config.tables_view
+        rows = tables.routes if _is_routes(request) else tables.pools
+        return _json({"revision": tables.revision, "rows": list(rows.values())})
+
+    async def put(request: web.Request) -> web.Response:
+        operator = authenticate_operator(request, operators)
+        base = _base_revision(request)
+        dry_run = _dry_run(request)
+        data = await read_body(request, max_body_bytes)
+        plain = parse_json(data, comments=True)
+        routes = _is_routes(request)
+        _check_count(plain, "routes" if routes else "pools", max_rows)
+        # The rows to write follow from the tables of the base revision; an older
+        # view of this process would leave out rows that were changed since.
+        based = _ok(await config.tables_at(base))
+        replacement = _replacement(based, plain, routes=routes)
+        if dry_run:
+            _ok(await config.check(replacement.change, base))
+            return _json({"revision": base, "difference": replacement.difference})
+        commit = _ok(await config.commit(replacement.change, base, operator))
+        return _json({**commit._asdict(), "difference": replacement.difference})
 
-    :param audit: returns the last operator actions, newest first
-    :param operators: lower-case hex SHA-256 of the token, by operator name
-    """
-    tables = TableHandlers(config, limits)
-    status = _StatusHandlers(config, membership, audit)
-    drains = _DrainHandlers(membership)
+    return [
+        route
+        for table in ("routes", "pools")
+        for route in (
+            web.get(f"/v1/admin/{table}", get),
+            web.put(f"/v1/admin/{table}", put),
+        )
+    ]
 
-    def guarded(handler: OperatorHandler) -> Handler:
-        return _authenticated(operators, handler)
+
+def _status_routes(
+    config: ConfigService, read_audit: ReadAudit, operators: Mapping[str, str]
+) -> list[web.RouteDef]:
+    async def status(request: web.Request) -> web.Response:
+        authenticate_operator(request, operators)
+        revision = config.tables_view.revision
+        body = {"revision": revision, "ready": config.ready}
+        return _json({**body, "hosts": config.in_force()})
+
+    async def history(request: web.Request) -> web.Response:
+        authenticate_operator(request, operators)
+        limit = query_number(request, "limit", DEFAULT_LISTED, MAX_LISTED)
+        return _json({"changes": await config.history(limit)})
+
+    async def audit(request: web.Request) -> web.Response:
+        authenticate_operator(request, operators)
+        limit = query_number(request, "limit", DEFAULT_LISTED, MAX_LISTED)
+        return _json({"entries": await read_audit(limit)})
+
+    return [
+        web.get("/v1/admin/config", status),
+        web.get("/v1/admin/history", history),
+        web.get("/v1/admin/audit", audit),
+    ]
+
+
+def _drain_routes(
+    membership: Membership, operators: Mapping[str, str]
+) -> list[web.RouteDef]:
+    async def drain(request: web.Request) -> web.Response:
+        operator = authenticate_operator(request, operators)
+        host = _known_host(membership, request)
+        return _json(_ok(await membership.drain(host, operator)))
+
+    async def undrain(request: web.Request) -> web.Response:
+        operator = authenticate_operator(request, operators)
+        host = _known_host(membership, request)
+        return _json(_ok(await membership.undrain(host, operator)))
 
     return [
-        web.get("/v1/admin/routes", guarded(tables.get("routes"))),
-        web.put("/v1/admin/routes", guarded(tables.put("routes"))),
-        web.get("/v1/admin/pools", guarded(tables.get("pools"))),
-        web.put("/v1/admin/pools", guarded(tables.put("pools"))),
-        web.get("/v1/admin/config", guarded(status.config)),
-        web.get("/v1/admin/history", guarded(status.history)),
-        web.get("/v1/admin/audit", guarded(status.audit)),
-        web.put("/v1/admin/drains/{host}", guarded(drains.drain)),
-        web.delete("/v1/admin/drains/{host}", guarded(drains.undrain)),
+        web.put("/v1/admin/drains/{host}", drain),
+        web.delete("/v1/admin/drains/{host}", undrain),
     ]
 
 
-def operator_of(request: web.Request, operators: Mapping[str, str]) -> str | None:
-    """Return the operator whose token the request carries.
+def _known_host(membership: Membership, request: web.Request) -> str:
+    name = request.match_info["host"]
+    if all(host.name != name for host in membership.hosts()):
+        raise NotFound("host", str(quote(name)))
+    return name
+
 
-    Every digest is compared in constant time, so that the time of an answer
-    says nothing about the tokens.
+def _rows(plain: Any) -> Any:
+    """Return the rows of a body: a list, or the object that GET answers."""
+    return plain["rows"] if isinstance(plain, dict) and "rows" in plain else plain
+
+
+def _check_count(plain: Any, table: str, max_rows: Mapping[str, int]) -> None:
+    rows = _rows(plain)
+    if isinstance(rows, list) and len(rows) > max_rows[table]:
+        rule = f"has at most {max_rows[table]} rows"
+        raise TableInvalid("", table, len(rows), rule)
+
+
+def _replacement(tables: Tables, plain: Any, *, routes: bool) -> Replacement:
+    """Return the change that replaces one table by the rows of a body.
+
+    :param tables: the tables that the change is based on
+    :raises TableInvalid: a row cannot be read
+    """
+    rows = _rows(plain)
+    if routes:
+        new_routes = _ok(parse_rows(Route, rows))
+        difference = diff_rows(tables.routes, new_routes)
+        change = TableChange(
+            put_routes=_touched(new_routes, difference),
+            delete_routes=difference.removed,
+        )
+        return Replacement(change, difference)
+    new_pools = _ok(parse_rows(Pool, rows))
+    difference = diff_rows(tables.pools, new_pools)
+    change = TableChange(
+        put_pools=_touched(new_pools, difference), delete_pools=difference.removed
+    )
+    return Replacement(change, difference)
+
+
+def _touched(rows: Sequence[R], difference: TableDiff) -> tuple[R, ...]:
+    names = {*difference.added, *difference.changed}
+    return tuple(row for row in rows if row.name in names)
+
+
+def _base_revision(request: web.Request) -> int:
+    text = request.query.get("base_revision", "")
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(MAX_REVISION))):
+        raise BadInput("base_revision", quote(text), "is the revision you edited")
+    return int(text)
+
+
+def _dry_run(request: web.Request) -> bool:
+    text = request.query.get("dry_run", "0")
+    if text not in ("0", "1"):
+        raise BadInput("dry_run", quote(text), "is 0 or 1")
+    return text == "1"
+
+
+def _is_routes(request: web.Request) -> bool:
+    return request.path.endswith("/routes")
+
+
+def _ok(result: Result[Any, BilberryhitchError]) -> Any:
+    """Return the value of a result.
+
+    :raises BilberryhitchError: the error of the result
     """
-    header = request.headers.get("Authorization", "")
-    if not header.startswith(BEARER) or len(header) > MAX_TOKEN:
-        return None
-    token = header.removeprefix(BEARER).encode(errors="surrogateescape")
-    digest = hashlib.sha256(token).hexdigest()
-    found = None
-    for name, expected in operators.items():
-        if hmac.compare_digest(digest, expected):
-            found = name
-    return found
-
-
-def _authenticated(operators: Mapping[str, str], handler: OperatorHandler) -> Handler:
-    async def handle(request: web.Request) -> web.StreamResponse:
-        operator = operator_of(request, operators)
-        if operator is None:
-            log(events.UNAUTHENTICATED_CALL, path=request.path, remote=request.remote)
-            return error_response(Unauthenticated())
-        return await handler(request, operator)
-
-    return handle
-
-
-class _StatusHandlers:
-    """Shows what is in force and who did what."""
-
-    def __init__(self, config: Config, hosts: Drains, audit: AuditReader) -> None:
-        self._config = config
-        self._hosts = hosts
-        self._audit = audit
-
-    async def config(self, request: web.Request, operator: str) -> web.Response:
-        """Answer the revision in force here and at every entry host."""
-        heard = {row.host: row for row in self._config.in_force()}
-        names = {host.name for host in self._hosts.hosts() if host.kind == "entry"}
-        body = {
-            "revision": self._config.tables_view.revision,
-            "ready": self._config.ready,
-            "hosts": [_host_status(name, heard) for name in sorted(names | set(heard))],
-        }
-        return web.json_response(body)
-
-    async def history(self, request: web.Request, operator: str) -> web.Response:
-        """Answer the last accepted changes, newest first."""
-        limit = query_number(request, "limit", DEFAULT_ENTRIES, MAX_ENTRIES)
-        changes = await self._config.history(limit)
-        return web.json_response({"changes": [to_plain(row) for row in changes]})
-
-    async def audit(self, request: web.Request, operator: str) -> web.Response:
-        """Answer the last other actions of operators, newest first."""
-        limit = query_number(request, "limit", DEFAULT_ENTRIES, MAX_ENTRIES)
-        entries = await self._audit(limit)
-        return web.json_response({"actions": [to_plain(row) for row in entries]})
-
-
-class _DrainHandlers:
-    """Drains hosts."""
-
-    def __init__(self, membership: Drains) -> None:
-        self._membership = membership
-
-    async def drain(self, request: web.Request, operator: str) -> web.Response:
-        """Keep new work from a host."""
-        host = self._known(request)
-        return _drain_answer(await self._membership.drain(host, operator))
-
-    async def undrain(self, request: web.Request, operator: str) -> web.Response:
-        """Undo a drain."""
-        host = self._known(request)
-        return _drain_answer(await self._membership.undrain(host, operator))
-
-    def _known(self, request: web.Request) -> str:
-        name = request.match_info["host"]
-        if all(host.name != name for host in self._membership.hosts()):
-            raise NotFound("host", quote(name))
-        return name
-
-
-def _host_status(name: str, heard: Mapping[str, HostRevision]) -> dict[str, Any]:
-    """Return one line of the status; heartbeats of every host reach only some."""
-    if name not in heard:
-        return {"host": name, "revision": None, "cut_off": None}
-    row = heard[name]
-    return {
-        "host": name,
-        "revision": row.revision,
-        "heard_s_ago": round(row.heard_s_ago, 1),
-        "cut_off": row.silent,
-    }
-
-
-def _drain_answer(result: Result[Any, StoreError]) -> web.Response:
     if result.is_error():
-        return error_response(result.error)
-    return web.json_response(to_plain(result.ok), status=HTTPStatus.OK)
+        raise result.error
+    return result.ok
+
+
+def _json(record: object) -> web.Response:
+    return web.Response(body=encode(record), content_type="application/json")
--- a/libs/api/src/bilberryhitch_api/diff.py
+++ b/libs/api/src/bilberryhitch_api/diff.py
@@ -1,4 +1,4 @@
-"""Differences between two versions of a table."""
+"""The difference between a table in force and the rows an operator sends."""
 
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple, TypeVar
@@ -8,41 +8,49 @@
 R = TypeVar("R", Route, Pool)
 
 
-class TableDiff(NamedTuple):
-    """What a change does to a table.
+class FieldChange(NamedTuple):
+    """One field of a row that changes."""
+
+    field: str
+    before: Any
+    after: Any
 
-    :param changed: by row and field, the old and the new value
-    """
 
-    added: list[str]
-    removed: list[str]
-    changed: dict[str, dict[str, list[Any]]]
+class TableDiff(NamedTuple):
+    """What replacing a table would do, by row name."""
 
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+    changed: Mapping[str, tuple[FieldChange, ...]]
 
-def changed_rows(
-    old: Mapping[str, R], rows: Sequence[R]
-) -> tuple[tuple[R, ...], tuple[str, ...]]:
-    """Return the rows to write and the names to delete to get from old to new."""
-    names = {row.name for row in rows}
-    puts = tuple(row for row in rows if old.get(row.name) != row)
-    deletes = tuple(sorted(name for name in old if name not in names))
-    return puts, deletes
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing changes."""
+        return not (self.added or self.removed or self.changed)
 
 
-def table_diff(old: Mapping[str, R], new: Mapping[str, R]) -> TableDiff:
-    """Return the difference between two versions, sorted by name."""
-    both = sorted(old.keys() & new.keys())
-    changed = {name: _fields(old[name], new[name]) for name in both}
+def diff_rows(before: Mapping[str, R], after: Sequence[R]) -> TableDiff:
+    """Return the difference between a table and its replacement."""
+    names = {row.name for row in after}
+    changed = {
+        row.name: _field_changes(before[row.name], row)
+        for row in after
+        if row.name in before and before[row.name] != row
+    }
     return TableDiff(
-        added=sorted(new.keys() - old.keys()),
-        removed=sorted(old.keys() - new.keys()),
-        changed={name: fields for name, fields in changed.items() if fields},
+        added=tuple(sorted(names - set(before))),
+        removed=tuple(sorted(set(before) - names)),
+        changed=changed,
     )
 
 
-def _fields(old: Route | Pool, new: Route | Pool) -> dict[str, list[Any]]:
-    return {
-        name: [to_plain(getattr(old, name)), to_plain(getattr(new, name))]
-        for name in old._fields
-        if getattr(old, name) != getattr(new, name)
-    }
+def _field_changes(
+    before: Route | Pool, after: Route | Pool
+) -> tuple[FieldChange, ...]:
+    old: dict[str, Any] = to_plain(before)
+    new: dict[str, Any] = to_plain(after)
+    return tuple(
+        FieldChange(field, old[field], new[field])
+        for field in new
+        if old[field] != new[field]
+    )
--- a/libs/api/tests/test_admin.py
+++ b/libs/api/tests/test_admin.py
@@ -1,7 +1,6 @@
 import asyncio
 import hashlib
 from itertools import count
-from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
@@ -73,7 +72,8 @@
             self.membership,
             lambda limit: read_audit(self.tables, limit, 2.0),
             OPERATORS,
-            SimpleNamespace(max_body_bytes=10_000),
+            max_body_bytes=10_000,
+            max_rows={"routes": 5_000, "pools": 2},
         )
         app.add_routes(routes)
         self.client = TestClient(TestServer(app))
@@ -107,11 +107,12 @@
     assert (status, body["revision"]) == (200, 2)
     assert body["difference"]["added"] == ["r"]
     _, table = await api.call("GET", "routes")
-    table["routes"][0]["estimate_s"] = 9.0
-    _, dry = await api.call("PUT", "routes?dry_run=1", table)
-    assert dry["difference"]["changed"] == {"r": {"estimate_s": [60.0, 9.0]}}
+    table["rows"][0]["estimate_s"] = 9.0
+    _, dry = await api.call("PUT", "routes?base_revision=2&dry_run=1", table)
+    changed = {"field": "estimate_s", "before": 60.0, "after": 9.0}
+    assert dry["difference"]["changed"] == {"r": [changed]}
     assert api.config.tables_view.revision == 2
-    _, body = await api.call("PUT", "routes", table)
+    _, body = await api.call("PUT", "routes?base_revision=2", table)
     assert body["difference"] == dry["difference"]
     _, history = await api.call("GET", "history?limit=1")
     assert [change["operator"] for change in history["changes"]] == ["ada"]
@@ -141,8 +142,8 @@
     ("PUT", "pools", [POOL], 400, "base_revision"),
     ("PUT", "pools?base_revision=x", [POOL], 400, "base_revision"),
     ("PUT", "pools?base_revision=0&dry_run=yes", [POOL], 400, "dry_run"),
-    ("PUT", "pools?base_revision=0", {"pols": []}, 400, "pols"),
-    ("PUT", "pools", {"revision": True, "pools": []}, 400, "revision"),
+    ("PUT", "pools?base_revision=0", {"pols": []}, 422, "pools"),
+    ("PUT", "pools?base_revision=0", [POOL] * 3, 422, "pools"),
     ("PUT", "pools?base_revision=0", [POOL, POOL], 422, "name"),
     ("PUT", "pools?base_revision=0", [], 422, "$"),
     ("PUT", "pools?base_revision=0", b'[{"name": "p", "name": "q"}]', 400, "name"),
@@ -195,8 +196,8 @@
     api.config.hear_revision("muscat-ruwi-1", 4)
     _, body = await api.call("GET", "config")
     assert body["hosts"][0]["revision"] == 4
-    assert body["hosts"][0]["cut_off"] is False
-    assert (await api.call("GET", "audit"))[1] == {"actions": []}
+    assert body["hosts"][0]["silent"] is False
+    assert (await api.call("GET", "audit"))[1] == {"entries": []}
     api.tables.down = True
     for path in ("history", "audit"):
         assert (await api.call("GET", path))[0] == 503
--- /dev/null
+++ b/tests/machines/mutants_point6_leaving.py
@@ -0,0 +1,233 @@
+"""Memberships that each lack one mechanism of point 6."""
+
+import asyncio
+
+from bilberryhitch_membership import Membership
+from bilberryhitch_membership.drains import Drains
+from bilberryhitch_membership.entry_hosts import EntryHosts
+from bilberryhitch_membership.polling import Poller
+from bilberryhitch_membership.run_ledger import RunLedger
+
+from .world_point6_leaving import HOST_LIST_LAG_S
+
+
+class NoNotices(Membership):
+    """Tells peers nothing at once."""
+
+    def _learn(self, notice):
+        return self._leaving.learn(notice, self._time_s())
+
+
+class NoCatchUp(Membership):
+    """Does not tell peers what their heartbeats show they lack."""
+
+    def _catch_up(self, heartbeat):
+        pass
+
+
+class NoDrainPoll(Membership):
+    """Does not read drain rows."""
+
+    async def _poll_drains(self):
+        pass
+
+
+class SequentialPolls(Membership):
+    """Waits for each answer before the next poll."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        drains, *others = self._pollers
+        self._pollers = (SequentialPoller(1.0, drains._poll), *others)
+
+
+class SequentialPoller(Poller):
+    async def _run(self):
+        while True:
+            await self._poll_once()
+            await asyncio.sleep(self._interval_s)
+
+
+class NoBootRows(Membership):
+    """Does not save what it learned from the host list."""
+
+    async def _keep_boot_rows(self):
+        pass
+
+
+class NotSticky(Membership):
+    """Believes a list that shows a leaving boot live again."""
+
+    def _apply_list(self, hosts):
+        for host in hosts:
+            if host.state == "live":
+                self._leaving._boots.pop(host.name, None)
+        super()._apply_list(hosts)
+
+
+class LastShownIsNewest(Membership):
+    """Takes the boot that the list shows for the newest."""
+
+    def _apply_list(self, hosts):
+        for host in hosts:
+            self._leaving._boots[host.name]._silence_s = 0.0
+        super()._apply_list(hosts)
+
+
+class NoHold(Membership):
+    """Believes a lagging list rather than news of a boot it never showed."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._leaving._boots.default_factory = lambda: RunLedger(HOST_LIST_LAG_S)
+
+
+class LastNoticeWins(Membership):
+    """Takes drain notices in the order of their arrival."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._leaving._drains = UnversionedDrains()
+
+
+class UnversionedDrains(Drains):
+    def learn(self, notice):
+        news = super().learn(notice)
+        self._notices[notice.host] = notice
+        return news
+
+
+class LeavesSilently(Membership):
+    """Does not announce its own leaving."""
+
+    def leave(self):
+        pass
+
+
+class NeverSilent(Membership):
+    """Counts every entry host that was ever heard as live."""
+
+    def entry_hosts(self, data_centre):
+        heard = self._entry._heard
+        live = {host for host, (where, _) in heard.items() if where == data_centre}
+        live.update(super().entry_hosts(data_centre))
+        return [host for host in live if not self.is_leaving(host)]
+
+
+class TrustsTheListLonger(Membership):
+    """Counts listed entry hosts as live for a minute after its start."""
+
+    async def start(self):
+        await super().start()
+        self._entry = EntryHosts(self._identity, (), self._started_s + 58.0)
+
+
+def late_notice(machine):
+    """A drain reaches ruwi1 and its store poll before an older undrain does."""
+    machine.advance(0.6)
+    machine.set_link(0.7, False)
+    machine.write_drain("ruwi2", "w1", False)
+    machine.set_link(0.0, False)
+    machine.write_drain("ruwi1", "w1", True)
+    machine.advance(4.0)
+
+
+def only_path_without_heartbeats(machine):
+    """Heartbeats do not join ruwi1 and seeb3 until seeb3 is alone."""
+    machine.set_link(0.7, False)
+    machine.leave_one_path("seeb3", "ruwi1")
+    machine.write_drain("ruwi1", "w1", True)
+    machine.advance(4.0)
+
+
+def restart_without_store(machine):
+    machine.set_store("ruwi2", "down")
+    machine.write_drain("ruwi1", "w1", True)
+    machine.restart("ruwi2")
+    machine.advance(4.0)
+
+
+def drain_while_cut(machine):
+    machine.cut_from_peers("ruwi2")
+    machine.write_drain("ruwi1", "w1", True)
+    machine.advance(4.0)
+
+
+def drain_after_a_slow_answer(machine):
+    machine.cut_from_peers("ruwi2")
+    machine.advance(0.6)
+    machine.set_store("ruwi2", "slow")
+    machine.advance(0.6)
+    machine.set_store("ruwi2", "none")
+    machine.write_drain("ruwi1", "w1", True)
+    machine.advance(4.0)
+
+
+def lagging_list_while_cut(machine):
+    machine.cut_from_peers("ruwi2")
+    machine.set_host_list("ruwi2", "lag", 20.0, "w1")
+    machine.list_state("w1", "leaving")
+    machine.advance(4.0)
+    machine.advance(4.0)
+
+
+def listed_live_again(machine):
+    machine.list_state("w1", "leaving")
+    machine.advance(4.0)
+    machine.list_state("w1", "live")
+    machine.advance(4.0)
+
+
+def earlier_boot_listed(machine):
+    """The first boot is listed again, long after the processes started."""
+    for _ in range(11):
+        machine.advance(4.0)
+    machine.reboot("w1")
+    machine.advance(4.0)
+    machine.list_state("w1", "leaving")
+    machine.advance(4.0)
+    machine.set_host_list("ruwi1", "lag", 20.0, "w1")
+    machine.advance(4.0)
+
+
+def boot_not_yet_listed(machine):
+    machine.set_host_list("ruwi2", "lag", 20.0, "w1")
+    machine.reboot("w1")
+    machine.list_state("w1", "leaving")
+    machine.advance(4.0)
+    machine.advance(4.0)
+
+
+def leave(machine):
+    machine.leave("ruwi2")
+    machine.advance(4.0)
+
+
+def leave_while_cut(machine):
+    machine.cut_from_peers("ruwi2")
+    machine.leave("ruwi2")
+    machine.advance(4.0)
+
+
+def restart_after_a_leave(machine):
+    machine.cut_from_peers("ruwi2")
+    machine.leave("ruwi2")
+    machine.restart("ruwi1")
+    machine.advance(4.0)
+
+
+# What each mechanism is for, as the shortest history known that needs it.
+MUTANTS = {
+    NoNotices: only_path_without_heartbeats,
+    NoCatchUp: restart_without_store,
+    NoDrainPoll: drain_while_cut,
+    SequentialPolls: drain_after_a_slow_answer,
+    NoBootRows: lagging_list_while_cut,
+    NotSticky: listed_live_again,
+    LastShownIsNewest: earlier_boot_listed,
+    NoHold: boot_not_yet_listed,
+    LastNoticeWins: late_notice,
+    LeavesSilently: leave,
+    NeverSilent: leave_while_cut,
+    TrustsTheListLonger: restart_after_a_leave,
+}
