--- a/libs/api/src/bilberryhitch_api/admin.py
+++ b/libs/api/src/bilberryhitch_api/admin.py
@@ -10,6 +10,7 @@
     Pool,
     Route,
     TableChange,
+    Tables,
     encode,
     parse_json,
     parse_rows,
@@ -79,9 +80,16 @@
     async def put(request: web.Request) -> web.Response:
         operator = authenticate_operator(request, operators)
         base = _base_revision(request)
-        plain = parse_json(await read_body(request, max_body_bytes))
-        replacement = _replacement(config, plain, max_rows, routes=_is_routes(request))
-        if request.query.get("dry_run") == "1":
+        dry_run = _dry_run(request)
+        data = await read_body(request, max_body_bytes)
+        plain = parse_json(data, comments=True)
+        routes = _is_routes(request)
+        _check_count(plain, "routes" if routes else "pools", max_rows)
+        # The rows to write follow from the tables of the base revision; an older
+        # view of this process would leave out rows that were changed since.
+        based = _ok(await config.tables_at(base))
+        replacement = _replacement(based, plain, routes=routes)
+        if dry_run:
             _ok(await config.check(replacement.change, base))
             return _json({"revision": base, "difference": replacement.difference})
         commit = _ok(await config.commit(replacement.change, base, operator))
@@ -103,7 +111,8 @@
     async def status(request: web.Request) -> web.Response:
         authenticate_operator(request, operators)
         revision = config.tables_view.revision
-        return _json({"revision": revision, "hosts": config.in_force()})
+        body = {"revision": revision, "ready": config.ready}
+        return _json({**body, "hosts": config.in_force()})
 
     async def history(request: web.Request) -> web.Response:
         authenticate_operator(request, operators)
@@ -148,19 +157,25 @@
     return name
 
 
-def _replacement(
-    config: ConfigService, plain: Any, max_rows: Mapping[str, int], *, routes: bool
-) -> Replacement:
-    """Return the change that replaces one table by the rows of a body.
+def _rows(plain: Any) -> Any:
+    """Return the rows of a body: a list, or the object that GET answers."""
+    return plain["rows"] if isinstance(plain, dict) and "rows" in plain else plain
 
-    :raises TableInvalid: a row cannot be read, or there are too many
-    """
-    rows = plain["rows"] if isinstance(plain, dict) and "rows" in plain else plain
-    table = "routes" if routes else "pools"
+
+def _check_count(plain: Any, table: str, max_rows: Mapping[str, int]) -> None:
+    rows = _rows(plain)
     if isinstance(rows, list) and len(rows) > max_rows[table]:
         rule = f"has at most {max_rows[table]} rows"
         raise TableInvalid("", table, len(rows), rule)
-    tables = config.tables_view
+
+
+def _replacement(tables: Tables, plain: Any, *, routes: bool) -> Replacement:
+    """Return the change that replaces one table by the rows of a body.
+
+    :param tables: the tables that the change is based on
+    :raises TableInvalid: a row cannot be read
+    """
+    rows = _rows(plain)
     if routes:
         new_routes = _ok(parse_rows(Route, rows))
         difference = diff_rows(tables.routes, new_routes)
@@ -189,6 +204,13 @@
     return int(text)
 
 
+def _dry_run(request: web.Request) -> bool:
+    text = request.query.get("dry_run", "0")
+    if text not in ("0", "1"):
+        raise BadInput("dry_run", quote(text), "is 0 or 1")
+    return text == "1"
+
+
 def _is_routes(request: web.Request) -> bool:
     return request.path.endswith("/routes")
 
