Give a fresh entry host the host list of a peer while the platform is down

The restarted host owned an executor by its rank, could not read the host list from the platform, and so nobody served that executor until the time-out. Ruled out: readiness and the configuration, which the peer had given. A process that never read the list now asks its peers. Type hints of records are cached; they were read again for every record.

--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -68,6 +68,11 @@
         """Where the API listens."""
         return self._api.address
 
+    @property
+    def link(self) -> PeerLink:
+        """The link to the other entry hosts."""
+        return self._link
+
     @property
     def membership(self) -> Membership:
         """Live and leaving hosts."""
--- a/libs/app/src/bilberryhitch/message_routing.py
+++ b/libs/app/src/bilberryhitch/message_routing.py
@@ -14,8 +14,11 @@
     ExplainAsk,
     ForwardRequest,
     Heartbeat,
+    HostListAsk,
+    HostListReply,
     JobNotice,
     Message,
+    PeerLink,
     RequestStatusAsk,
 )
 from bilberryhitch_requests import RequestService
@@ -26,6 +29,10 @@
 class Services(Protocol):
     """The services of an entry host that take messages."""
 
+    @property
+    def link(self) -> PeerLink:
+        """The link to the other entry hosts."""
+
     @property
     def membership(self) -> Membership:
         """Live and leaving hosts."""
@@ -53,6 +60,12 @@
         if isinstance(message, DrainNotice):
             services.membership.hear_drain(message)
             return None
+        if isinstance(message, HostListAsk):
+            _send_host_list(services, sender)
+            return None
+        if isinstance(message, HostListReply):
+            services.membership.hear_host_list(message)
+            return None
         if isinstance(message, ConfigOffer | ConfigAsk):
             return await services.config.handle(sender, message)
         if isinstance(message, JobNotice | CancelJob | ExplainAsk):
@@ -64,6 +77,12 @@
     return handle
 
 
+def _send_host_list(services: Services, host: str) -> None:
+    reply = services.membership.answer_host_list()
+    if reply is not None:
+        services.link.send(host, reply)
+
+
 def _hear_heartbeat(services: Services, heartbeat: Heartbeat) -> None:
     services.membership.hear(heartbeat)
     services.config.hear_revision(heartbeat.host, heartbeat.config_revision)
--- a/libs/membership/src/bilberryhitch_membership/membership.py
+++ b/libs/membership/src/bilberryhitch_membership/membership.py
@@ -6,7 +6,13 @@
 
 from bilberryhitch_model import Host, Identity, PeerAddress
 from bilberryhitch_model.errors import StoreError
-from bilberryhitch_peers import DrainNotice, Heartbeat, Message
+from bilberryhitch_peers import (
+    DrainNotice,
+    Heartbeat,
+    HostListAsk,
+    HostListReply,
+    Message,
+)
 from bilberryhitch_platform import HostList, TableService
 from expression import Result
 
@@ -118,6 +124,17 @@
         """Take a peer's notice that a host is leaving or its drain was undone."""
         self._learn(notice)
 
+    def answer_host_list(self) -> HostListReply | None:
+        """Return the host list for a peer, if this process has read it."""
+        if not self._list_applied:
+            return None
+        return HostListReply(list(self._listed.values()))
+
+    def hear_host_list(self, reply: HostListReply) -> None:
+        """Take a peer's host list unless this process has read its own."""
+        if not self._list_applied:
+            self._apply_list(reply.hosts)
+
     def entry_hosts(self, data_centre: str) -> list[str]:
         """Return live entry hosts that are not leaving, sorted by name."""
         live = self._entry.live(data_centre, self._time_s())
@@ -247,12 +264,25 @@
     async def _poll_host_list(self) -> None:
         self._list_poll += 1
         number = self._list_poll
-        hosts = await self._host_list.list_hosts()
+        try:
+            hosts = await self._host_list.list_hosts()
+        except StoreError:
+            self._ask_host_list()
+            raise
         if number < self._list_applied:
             return  # an answer to a later poll overtook this one
         self._list_applied = number
         self._apply_list(hosts)
 
+    def _ask_host_list(self) -> None:
+        """Ask peers while the platform's own list was never read.
+
+        A fresh process that owns executors by its rank must know them, also
+        while the platform cannot be reached.
+        """
+        if not self._list_applied:
+            self._broadcast(HostListAsk())
+
     def _apply_list(self, hosts: Sequence[Host]) -> None:
         before, self._listed = self._listed, {host.name: host for host in hosts}
         self._entry.set_listed(hosts)
--- a/libs/model/src/bilberryhitch_model/codec.py
+++ b/libs/model/src/bilberryhitch_model/codec.py
@@ -65,6 +65,11 @@
     return built
 
 
+@cache
+def _hints(kind: Any) -> dict[str, Any]:
+    return get_type_hints(kind)
+
+
 def _is_record(kind: Any) -> bool:
     return (
         isinstance(kind, type) and issubclass(kind, tuple) and hasattr(kind, "_fields")
@@ -79,7 +84,7 @@
     read objects and refuse unknown fields.
     """
     if _is_record(kind):
-        hints = get_type_hints(kind)
+        hints = _hints(kind)
         fields = [
             _field(name, hints[name], kind._field_defaults) for name in kind._fields
         ]
@@ -110,7 +115,7 @@
     if _is_record(kind):
         if isinstance(value, kind):
             return value
-        hints = get_type_hints(kind)
+        hints = _hints(kind)
         return kind(
             **{name: _build(hints[name], getattr(value, name)) for name in kind._fields}
         )
--- a/libs/peers/src/bilberryhitch_peers/messages.py
+++ b/libs/peers/src/bilberryhitch_peers/messages.py
@@ -5,7 +5,7 @@
 """
 
 import msgspec
-from bilberryhitch_model import Explanation, Outcome, RequestCall
+from bilberryhitch_model import Explanation, Host, Outcome, RequestCall
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
@@ -129,6 +129,16 @@
     explanation: Explanation | None
 
 
+class HostListAsk(msgspec.Struct, frozen=True, tag="host_list_ask"):
+    """Asks for the platform's host list, which the sender could never read."""
+
+
+class HostListReply(msgspec.Struct, frozen=True, tag="host_list_reply"):
+    """The host list as the sender last read it from the platform."""
+
+    hosts: list[Host]
+
+
 Message = (
     Heartbeat
     | ConfigOffer
@@ -143,4 +153,6 @@
     | CancelReply
     | ExplainAsk
     | ExplainReply
+    | HostListAsk
+    | HostListReply
 )
--- a/tests/machines/world_point6_leaving.py
+++ b/tests/machines/world_point6_leaving.py
@@ -8,7 +8,7 @@
 from bilberryhitch_membership import Membership
 from bilberryhitch_model import Host, Identity
 from bilberryhitch_model.errors import StoreError
-from bilberryhitch_peers import Heartbeat
+from bilberryhitch_peers import Heartbeat, HostListAsk, HostListReply
 from bilberryhitch_testing import VirtualTimeLoop
 
 from .fakes_point6_leaving import ProcessHostList, ProcessTables, WatchedTables
@@ -278,6 +278,12 @@
         membership = self.processes[receiver].membership
         if isinstance(message, Heartbeat):
             membership.hear(message)
+        elif isinstance(message, HostListAsk):
+            reply = membership.answer_host_list()
+            if reply is not None:
+                self._transmit(receiver, sender, reply)
+        elif isinstance(message, HostListReply):
+            membership.hear_host_list(message)
         else:
             membership.hear_drain(message)
 
