--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: demo test lint format fuzz measure dist clean
+.PHONY: demo test lint format fuzz measure measure-control dist clean
 
 $(VENV)/.ready: requirements.txt $(wildcard libs/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,13 @@
 measure: $(VENV)/.ready
 	$(BIN)/python -m measure --seed $(SEED)
 
+measure-control: $(VENV)/.ready
+	$(BIN)/python -m measure.planner_cost --seed $(SEED)
+	$(BIN)/python -m measure.request_cost --seed $(SEED)
+	$(BIN)/python -m measure.control_cost --seed $(SEED)
+	$(BIN)/python -m measure.scale --seed $(SEED)
+	$(BIN)/python -m measure.daemon_cost --seed $(SEED)
+
 dist: $(VENV)/.ready
 	$(BIN)/python scripts/build_dist.py dist/bilberryhitch
 
--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the policy measurement: ``python -m measure``."""
+
+from .policy import main
+
+main()
--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import json
 import multiprocessing
 import random
 import resource
@@ -24,6 +23,8 @@
 from bilberryhitch_platform import MemoryHostList, MemoryTables
 from bilberryhitch_testing import FaultyTables
 
+from measure.records import write_record
+
 SIZES = (2, 4, 8, 16, 40)
 SETTLE_S = 4.0  # past the greeting and the first polls
 MEASURE_S = 5.0
@@ -204,9 +205,10 @@
     lines = []
     for size in SIZES:
         lines.append(measure_apart(size, options.seed, options.accounts))
-        print(json.dumps(lines[-1]), flush=True)
+        write_record("control_cost", options.seed, lines[-1])
     figures = ("cpu_s_per_s", "uss_mb", "bytes_sent_per_s", "table_reads_per_s")
-    print(json.dumps({figure: fit(lines, figure) for figure in figures}), flush=True)
+    fits = {figure: fit(lines, figure) for figure in figures}
+    write_record("control_cost", options.seed, {"fit": fits})
 
 
 if __name__ == "__main__":
--- a/measure/planner_cost.py
+++ b/measure/planner_cost.py
@@ -45,6 +45,8 @@
 from expression import Ok, Result
 from loguru import logger
 
+from measure.records import write_record
+
 SIZES = (50, 100, 200, 400)
 REPEATS = 3
 STEADY_S = 60
@@ -384,7 +386,7 @@
             line[f"{name}_residual"] = residual
     for line in lines:
         rounded = {name: _rounded(value) for name, value in line.items()}
-        print(json.dumps(rounded))
+        write_record("planner_cost", seed, rounded)
 
 
 def _rounded(value: float) -> float:
--- a/measure/request_cost.py
+++ b/measure/request_cost.py
@@ -8,7 +8,6 @@
 
 import argparse
 import asyncio
-import json
 import random
 import statistics
 import time
@@ -20,6 +19,8 @@
 from bilberryhitch_requests import waiting
 from bilberryhitch_testing import run_virtual
 
+from measure.records import write_record
+
 from .fifo_queue import FifoQueue
 from .request_cluster import Cluster
 
@@ -50,14 +51,11 @@
             key=lambda found: found["cpu_s_per_request"],
         )
         costs.append(row["cpu_s_per_request"])
-        _print(row)
-    _print(_fit(SIZES, costs))
+        write_record("request_cost", seed, row)
+    write_record("request_cost", seed, _fit(SIZES, costs))
     for account, spread in (("small", True), ("small", False), ("large", False)):
-        _print(_fairness(account, seed, spread=spread))
-
-
-def _print(row: dict[str, Any]) -> None:
-    print(json.dumps(row), flush=True)
+        row = _fairness(account, seed, spread=spread)
+        write_record("request_cost", seed, row)
 
 
 def _tables(executors: int) -> Tables:
