--- a/libs/api/src/bilberryhitch_api/admin.py
+++ b/libs/api/src/bilberryhitch_api/admin.py
@@ -26,7 +26,7 @@
 
 from .bodies import query_number, read_body
 from .diff import TableDiff, diff_rows
-from .operator_auth import authenticate_operator
+from .tokens import authenticate_operator
 
 MAX_LISTED = 1000
 DEFAULT_LISTED = 20
--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -10,6 +10,7 @@
 from bilberryhitch_api.admin import admin_routes
 from bilberryhitch_api.callers import caller_routes
 from bilberryhitch_api.server import ApiServer, health_routes
+from bilberryhitch_api.tokens import caller_authentication
 from bilberryhitch_config import ConfigService, read_audit
 from bilberryhitch_gangs import HttpWorkerClient, JobService, PlannerSet
 from bilberryhitch_membership import Membership, Vitals
@@ -26,7 +27,6 @@
 from bilberryhitch_settings import Settings
 from bilberryhitch_telemetry import events, log, scrape
 
-from .caller_tokens import token_authentication
 from .message_routing import route_messages
 
 WHOLE_USAGE_EVERY = 20
@@ -223,7 +223,7 @@
             *caller_routes(
                 self._requests,
                 self._jobs,
-                token_authentication(self._settings.callers),
+                caller_authentication(self._settings.callers),
                 max_body_bytes=limits.max_body_bytes,
             ),
             *admin_routes(
--- a/tests/path/cluster.py
+++ b/tests/path/cluster.py
@@ -6,7 +6,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from tests.path.processes import Process, free_ports
@@ -17,6 +18,7 @@
 ACCOUNTS = ("al-batinah", "nizwa")
 START_LIMIT_S = 60.0
 WORKERS_PER_DATA_CENTRE = 2
+TABLE_PUTS = 2
 ROUTES = [
     {
         "name": "solder-fit",
@@ -65,6 +67,23 @@
         time.sleep(0.1)
 
 
+@contextmanager
+def running_cluster(folder: Path) -> Iterator["Cluster"]:
+    """Run a cluster with both tables in force on every entry host."""
+    cluster = Cluster(folder)
+    try:
+        cluster.start()
+        cluster.put_tables("ruwi-1", "salma")
+        for host in cluster.apis:
+            wait_until(
+                lambda host=host: cluster.revision_in_force(host) >= TABLE_PUTS,
+                f"tables in force at {host}",
+            )
+        yield cluster
+    finally:
+        cluster.close()
+
+
 class Cluster:
     """Starts the stand-ins and entry hosts, and runs the command line against them."""
 
--- a/tests/path/test_path.py
+++ b/tests/path/test_path.py
@@ -4,23 +4,13 @@
 
 import pytest
 
-from tests.path.cluster import Cluster, wait_until
+from tests.path.cluster import running_cluster, wait_until
 
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    cluster = Cluster(tmp_path_factory.mktemp("path"))
-    try:
-        cluster.start()
-        cluster.put_tables("ruwi-1", "salma")
-        for host in cluster.apis:
-            wait_until(
-                lambda host=host: cluster.revision_in_force(host) >= 2,
-                f"tables in force at {host}",
-            )
+    with running_cluster(tmp_path_factory.mktemp("path")) as cluster:
         yield cluster
-    finally:
-        cluster.close()
 
 
 def test_request_is_answered_whole(cluster):
--- a/tests/path/test_signals.py
+++ b/tests/path/test_signals.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from tests.path.cluster import Cluster, wait_until
+from tests.path.cluster import running_cluster, wait_until
 
 RUN_S = 2.0
 CALLS = 24
@@ -16,18 +16,8 @@
 
 @pytest.fixture
 def cluster(tmp_path):
-    cluster = Cluster(tmp_path)
-    try:
-        cluster.start()
-        cluster.put_tables("ruwi-1", "salma")
-        for host in cluster.apis:
-            wait_until(
-                lambda host=host: cluster.revision_in_force(host) >= 2,
-                f"tables in force at {host}",
-            )
+    with running_cluster(tmp_path) as cluster:
         yield cluster
-    finally:
-        cluster.close()
 
 
 async def send_request(session, api, route, number, key=""):
