--- a/libs/app/src/bilberryhitch/entry_host.py
+++ b/libs/app/src/bilberryhitch/entry_host.py
@@ -215,6 +215,7 @@
             new_id=_new_id,
             rng=random.Random(),
             outcome_limit=self._settings.limits.outcome_memory,
+            queue_limit=self._settings.limits.max_queued,
         )
 
     def _build_api(self) -> ApiServer:
--- a/libs/requests/src/bilberryhitch_requests/service.py
+++ b/libs/requests/src/bilberryhitch_requests/service.py
@@ -34,6 +34,7 @@
 from .waiting import WaitingRequests
 
 TICK_S = 0.25
+MAX_QUEUED = 10_000
 PROBE_TIMEOUT_S = 1.0
 
 
@@ -42,6 +43,8 @@
 
     :param owner: which entry host owns an executor
     :param outcome_limit: finished requests remembered
+    :param queue_limit: most requests waiting for each pool in this process; a
+        pool's own ``max_queued`` may be lower
     """
 
     def __init__(
@@ -58,12 +61,14 @@
         rng: random.Random,
         owner: Owner = rendezvous_owner,
         outcome_limit: int = MAX_RECORDS,
+        queue_limit: int = MAX_QUEUED,
         slots_per_executor: int = SLOTS_PER_EXECUTOR,
     ) -> None:
         self._identity = identity
         self._config = config
         self._executors = executors
         self._new_id = new_id
+        self._queue_limit = queue_limit
         self._slots = ExecutorSlots(
             identity,
             config,
@@ -240,10 +245,16 @@
     def _waiting_for(self, pool: Pool) -> WaitingRequests:
         waiting = self._waiting.get(pool.name)
         if waiting is None:
-            waiting = WaitingRequests(pool, self._slots, self._peer_slots.pick)
+            waiting = WaitingRequests(
+                self._bounded(pool), self._slots, self._peer_slots.pick
+            )
             self._waiting[pool.name] = waiting
         return waiting
 
+    def _bounded(self, pool: Pool) -> Pool:
+        limit = min(pool.max_queued, self._queue_limit)
+        return pool._replace(max_queued=limit)
+
     def _pump(self) -> None:
         for waiting in self._waiting.values():
             waiting.pump()
@@ -254,7 +265,7 @@
             pools = self._config.tables_view.pools
             for name, waiting in self._waiting.items():
                 if name in pools:
-                    waiting.set_pool(pools[name])
+                    waiting.set_pool(self._bounded(pools[name]))
                 waiting.expire_usage()
             for host in self._slots.due_probes():
                 self._spawn(self._probe(host))
--- a/libs/requests/tests/test_service.py
+++ b/libs/requests/tests/test_service.py
@@ -145,3 +145,12 @@
     service.hear_usage("e2", {"p/else": 1.0})
     service.hear_usage("e2", {"p/acme": 12.0})
     assert charged == [("acme", 10.0), ("else", 1.0), ("acme", 2.0)]
+
+
+def test_queue_limit_of_the_process_bounds_every_pool(world):
+    # Guards against a pool row that lets the queue of one process grow without end.
+    service = world.hosts["e1"].service
+    service._queue_limit = 3
+    pool = service._config.tables_view.pools["p"]
+    assert service._bounded(pool).max_queued == 3
+    assert service._bounded(pool._replace(max_queued=2)).max_queued == 2
