--- a/libs/app/src/bilberryhitch/main.py
+++ b/libs/app/src/bilberryhitch/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import os
 import sys
 from collections.abc import Awaitable, Callable
 
@@ -10,6 +11,8 @@
 from .arguments import build_parser
 from .exit_codes import ExitCode
 
+# Set by the shell's completion function while it asks for candidates.
+COMPLETION_VARIABLE = "_ARGCOMPLETE"
 Command = Callable[[argparse.Namespace], ExitCode]
 
 
@@ -23,7 +26,12 @@
 
     :param words: the arguments after the program's name
     """
-    arguments = build_parser().parse_args(words)
+    parser = build_parser()
+    if COMPLETION_VARIABLE in os.environ:
+        import argcomplete
+
+        argcomplete.autocomplete(parser)
+    arguments = parser.parse_args(words)
     return _find_command(arguments.command)(arguments)
 
 
