--- /dev/null
+++ b/libs/jobs/src/bilberryhitch_jobs/__init__.py
@@ -0,0 +1,69 @@
+"""Jobs as graphs of steps: records, durable rows, acceptance."""
+
+from .acceptance import Acceptance, Verdict
+from .configuration import (
+    Account,
+    AdviceTerms,
+    Configuration,
+    Limits,
+    Queue,
+    Service,
+)
+from .desk import Admitted, Desk, JobContent, Outcome, Reply
+from .follower import Follower
+from .progress import (
+    GANG,
+    JobProgress,
+    UnitProgress,
+    decode_progress,
+    decode_request,
+    encode_progress,
+    encode_request,
+)
+from .records import (
+    FINISHED,
+    Demand,
+    JobRequest,
+    JobState,
+    Schedule,
+    Step,
+    TaskName,
+)
+from .rows import Expected, Removal, Row, Snapshot, Store, Write
+
+__all__ = [
+    "FINISHED",
+    "GANG",
+    "Acceptance",
+    "Account",
+    "Admitted",
+    "AdviceTerms",
+    "Configuration",
+    "Demand",
+    "Desk",
+    "Expected",
+    "Follower",
+    "JobContent",
+    "JobProgress",
+    "JobRequest",
+    "JobState",
+    "Limits",
+    "Outcome",
+    "Queue",
+    "Removal",
+    "Reply",
+    "Row",
+    "Schedule",
+    "Service",
+    "Snapshot",
+    "Step",
+    "Store",
+    "TaskName",
+    "UnitProgress",
+    "Verdict",
+    "Write",
+    "decode_progress",
+    "decode_request",
+    "encode_progress",
+    "encode_request",
+]
--- /dev/null
+++ b/libs/jobs/src/bilberryhitch_jobs/desk.py
@@ -0,0 +1,171 @@
+"""Answers callers' requests about jobs: who may ask, what is asked, what is so."""
+
+import time
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import NamedTuple
+
+from bilberryhitch_telemetry import events, log
+
+from .acceptance import Acceptance, Verdict
+from .configuration import Configuration, Queue
+from .records import JobRequest, JobState, Schedule, Step
+
+# Without contact for this long the store is taken to be out of reach: the
+# configuration's feed answers at least once a second.
+STORE_SILENCE_S = 2.0
+# Outages last seconds; a caller that returns sooner is refused again.
+RETRY_AFTER_S = 1
+
+
+class Outcome(Enum):
+    """Kinds of answers to callers."""
+
+    ACCEPTED = auto()
+    STATE = auto()
+    WAITING = auto()
+    CANCELLED = auto()
+    NO_JOB = auto()
+    NO_QUEUE = auto()
+    UNAUTHENTICATED = auto()
+    NOT_RUN = auto()
+    UNKNOWN = auto()
+
+
+class Reply(NamedTuple):
+    """An answer to a caller.
+
+    :param state: for ``STATE``
+    :param waiting: for ``WAITING``: jobs that have not begun
+    :param retry_after_s: for ``NOT_RUN``: when another attempt may succeed
+    """
+
+    outcome: Outcome
+    state: JobState | None = None
+    waiting: int = 0
+    retry_after_s: int = 0
+
+
+class Admitted(NamedTuple):
+    """A call that may be made.
+
+    :param account: empty for a public queue
+    :param rest: what follows the queue's prefix
+    """
+
+    queue: Queue
+    account: str
+    rest: str
+
+
+class JobContent(NamedTuple):
+    """What a caller submits."""
+
+    spec: str
+    steps: tuple[Step, ...]
+    schedule: Schedule | None
+
+
+class Desk:
+    """One entry host's answers.
+
+    :param configuration: the configuration in force, or None before the first
+    :param store_heard_at: steady time of the store's last answer
+    """
+
+    def __init__(
+        self,
+        acceptance: Acceptance,
+        configuration: Callable[[], Configuration | None],
+        store_heard_at: Callable[[], float],
+    ) -> None:
+        self._acceptance = acceptance
+        self._configuration = configuration
+        self._store_heard_at = store_heard_at
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store has answered lately."""
+        return time.monotonic() - self._store_heard_at() < STORE_SILENCE_S
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self._configuration() is not None and self.store_reachable
+
+    def admit(self, host: str, path: str, key: str | None) -> Admitted | Reply:
+        """Find the queue of a call and the account of its caller."""
+        configuration = self._configuration()
+        if configuration is None:
+            return _not_run("no_configuration", path)
+        queue = configuration.find_queue(host, path)
+        if queue is None:
+            return Reply(Outcome.NO_QUEUE)
+        rest = path[len(queue.path_prefix) :]
+        if queue.public:
+            return Admitted(queue, "", rest)
+        account = configuration.accounts_by_key.get(key or "")
+        if account is None:
+            log(
+                events.UNAUTHENTICATED_CALL,
+                request_id=rest,
+                queue=queue.name,
+                revision=configuration.version,
+            )
+            return Reply(Outcome.UNAUTHENTICATED)
+        return Admitted(queue, account, rest)
+
+    async def submit(
+        self, call: Admitted, content: JobContent, deadline: float
+    ) -> Reply:
+        """Accept a job."""
+        if not self.store_reachable:
+            return _not_run("store_unreachable", call.rest)
+        request = JobRequest(
+            call.rest,
+            call.queue,
+            call.account,
+            content.spec,
+            content.steps,
+            time.time(),
+            content.schedule,
+        )
+        verdict = await self._acceptance.accept(request, deadline)
+        return _reply(verdict, Outcome.ACCEPTED, call.rest)
+
+    async def cancel(self, call: Admitted, deadline: float) -> Reply:
+        """Cancel a job."""
+        if not self.store_reachable:
+            return _not_run("store_unreachable", call.rest)
+        verdict = await self._acceptance.cancel(call.rest, call.account, deadline)
+        return _reply(verdict, Outcome.CANCELLED, call.rest)
+
+    async def state(self, call: Admitted, deadline: float) -> Reply:
+        """Tell a job's state."""
+        verdict, state = await self._acceptance.state(
+            call.rest, call.account, deadline
+        )
+        return _reply(verdict, Outcome.STATE, call.rest)._replace(state=state)
+
+    async def waiting(self, call: Admitted, deadline: float) -> Reply:
+        """Tell how many jobs of a queue have not begun."""
+        count = await self._acceptance.waiting(call.queue.name, deadline)
+        if count is None:
+            return _not_run("store_unreachable", call.queue.name)
+        return Reply(Outcome.WAITING, waiting=count)
+
+
+def _reply(verdict: Verdict, done: Outcome, request_id: str) -> Reply:
+    if verdict is Verdict.REFUSED:
+        return _not_run("store_refused", request_id)
+    outcomes = {
+        Verdict.DONE: done,
+        Verdict.ABSENT: Outcome.NO_JOB,
+        Verdict.UNKNOWN: Outcome.UNKNOWN,
+    }
+    return Reply(outcomes[verdict])
+
+
+def _not_run(reason: str, request_id: str) -> Reply:
+    log(events.REQUEST_REFUSED, request_id=request_id, reason=reason)
+    return Reply(Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/libs/jobs/src/bilberryhitch_jobs/progress.py
@@ -0,0 +1,131 @@
+"""What must outlive the planner about a job, and how it is stored."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from .configuration import Queue
+from .errors import RowUnreadable
+from .records import Demand, JobRequest, JobState, Schedule, Step
+
+# Index under which the record of a whole gang is kept.
+GANG = -1
+
+
+class UnitProgress(NamedTuple):
+    """Progress of a gang or a single task.
+
+    :param done: a run of it has ended successfully
+    :param last_run: highest run number used so far
+    :param failed_runs: run numbers that ended in failure; a number is counted once
+    :param saved: last checkpoint; empty for none
+    """
+
+    done: bool = False
+    last_run: int = 0
+    failed_runs: tuple[int, ...] = ()
+    saved: str = ""
+
+
+class JobProgress(NamedTuple):
+    """Progress of a job.
+
+    :param account: client account that may see the job; empty for any
+    :param units: by occurrence, step and index; untouched units are left out
+    :param finished_s: Unix time of the end, 0 before it
+    """
+
+    state: JobState
+    account: str
+    units: dict[tuple[int, int, int], UnitProgress]
+    finished_s: float = 0.0
+
+
+class _ProgressRow(msgspec.Struct, array_like=True):
+    state: JobState
+    account: str
+    finished_s: float
+    # Occurrence, step, index, done, last run, failed runs, checkpoint.
+    units: list[tuple[int, int, int, bool, int, list[int], str]]
+
+
+class _RequestRow(msgspec.Struct, array_like=True):
+    job: str
+    queue: Queue
+    account: str
+    spec: str
+    accepted_s: float
+    schedule: tuple[int, float, float] | None
+    steps: list[Step]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_progress_decoder = msgspec.msgpack.Decoder(_ProgressRow)
+_request_decoder = msgspec.msgpack.Decoder(_RequestRow)
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Return the row's value; a finished job keeps its state only."""
+    units = [] if progress.finished_s else sorted(progress.units.items())
+    return _encode(
+        _ProgressRow(
+            progress.state,
+            progress.account,
+            progress.finished_s,
+            [
+                (*key, unit.done, unit.last_run, list(unit.failed_runs), unit.saved)
+                for key, unit in units
+            ],
+        )
+    )
+
+
+def decode_progress(key: str, value: bytes) -> JobProgress:
+    """Read a progress row.
+
+    :raises RowUnreadable: if the value is not one
+    """
+    try:
+        row = _progress_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise RowUnreadable(key, str(error)) from error
+    return JobProgress(
+        row.state,
+        row.account,
+        {
+            (occurrence, step, index): UnitProgress(done, last, tuple(failed), saved)
+            for occurrence, step, index, done, last, failed, saved in row.units
+        },
+        row.finished_s,
+    )
+
+
+def encode_request(request: JobRequest) -> bytes:
+    """Return the value of the row that makes a job accepted."""
+    return _encode(
+        _RequestRow(
+            request.job,
+            request.queue,
+            request.account,
+            request.spec,
+            request.accepted_s,
+            request.schedule and tuple(request.schedule),
+            list(request.steps),
+        )
+    )
+
+
+def decode_request(key: str, value: bytes) -> JobRequest:
+    """Read an accepted job.
+
+    :raises RowUnreadable: if the value is not one
+    """
+    try:
+        row = _request_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise RowUnreadable(key, str(error)) from error
+    schedule = Schedule(*row.schedule) if row.schedule else None
+    steps = tuple(step._replace(demand=Demand(*step.demand)) for step in row.steps)
+    return JobRequest(
+        row.job, row.queue, row.account, row.spec, steps, row.accepted_s, schedule
+    )
--- /dev/null
+++ b/libs/jobs/src/bilberryhitch_jobs/rows.py
@@ -0,0 +1,79 @@
+"""Rows of a transactional table store and the calls that the product needs."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+
+class Row(NamedTuple):
+    """A row as the store returned it.
+
+    :param value: empty if the row was removed
+    :param revision: version of the store at the row's last change; 0 if absent
+    """
+
+    table: str
+    key: str
+    value: bytes
+    revision: int
+    removed: bool = False
+
+
+class Snapshot(NamedTuple):
+    """Rows of one moment.
+
+    :param revision: version of the store at that moment, from which to watch
+    """
+
+    rows: tuple[Row, ...]
+    revision: int
+
+
+class Expected(NamedTuple):
+    """A row's revision that a transaction depends on; 0 means absent."""
+
+    table: str
+    key: str
+    revision: int
+
+
+class Write(NamedTuple):
+    """A row to be written."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+class Removal(NamedTuple):
+    """A row to be removed."""
+
+    table: str
+    key: str
+
+
+class Store(Protocol):
+    """Calls to the store; each raises a class of ``STORE_ERRORS`` on failure."""
+
+    async def read(
+        self, table: str, first: str = "", last: str = "", *, timeout_s: float
+    ) -> Snapshot:
+        """Return the rows with ``first`` <= key < ``last`` in order of keys."""
+
+    async def watch(self, table: str, after: int, wait_s: float) -> Snapshot:
+        """Return rows changed since ``after``; wait up to ``wait_s`` for one.
+
+        :raises HistoryLost: if the changes are no longer kept
+        """
+
+    async def commit(
+        self,
+        expected: Sequence[Expected],
+        writes: Sequence[Write],
+        removals: Sequence[Removal] = (),
+        *,
+        timeout_s: float,
+    ) -> int:
+        """Apply all changes or none and return the store's new version.
+
+        :raises CommitConflict: if a row has not the expected revision
+        """
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/__init__.py
@@ -0,0 +1,40 @@
+"""The planner of jobs: placement, leases, reclaim, takeover and its journal."""
+
+from .errors import Deposed, WorkerFenced, WorkerGone, WorkerUnreachable
+from .lead import Candidate, Lead
+from .planner import Planner
+from .reports import (
+    EndedTask,
+    EndKind,
+    HoldReport,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    StopOutcome,
+    WorkerEntry,
+)
+from .tenure import Campaign, Tenure
+from .worker_calls import WorkerCalls
+
+__all__ = [
+    "Campaign",
+    "Candidate",
+    "Deposed",
+    "EndKind",
+    "EndedTask",
+    "HoldReport",
+    "Lead",
+    "Planner",
+    "RunningTask",
+    "StartOrder",
+    "StartOutcome",
+    "StopOrder",
+    "StopOutcome",
+    "Tenure",
+    "WorkerCalls",
+    "WorkerEntry",
+    "WorkerFenced",
+    "WorkerGone",
+    "WorkerUnreachable",
+]
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -0,0 +1,251 @@
+"""Stores what must outlive the planner and renews its lease, in one stream.
+
+One transaction is in flight at a time. After one whose fate is unknown the next
+changes the lease's row, which bars the earlier copy from taking effect later.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+from bilberryhitch_jobs import (
+    Expected,
+    Removal,
+    Store,
+    Write,
+    encode_progress,
+)
+from bilberryhitch_jobs.acceptance import (
+    CANCEL_SUFFIX,
+    JOBS,
+    PROGRESS_SUFFIX,
+    SUMMARY,
+    WAITING_KEY,
+)
+from bilberryhitch_jobs.errors import (
+    CommitConflict,
+    StoreRefused,
+    StoreUnknown,
+)
+from bilberryhitch_telemetry import events, log
+
+from .errors import Deposed
+from .planner import Planner
+from .tenure import (
+    CALL_TIMEOUT_S,
+    LEASE_KEY,
+    LEASE_TABLE,
+    RENEWAL_S,
+    WORKER_LEASE_HORIZON_S,
+    LeaseRow,
+    Tenure,
+    decode_lease,
+    encode_lease,
+)
+
+# Entries of one transaction, below the platform's limit of 100.
+MOST_ENTRIES = 80
+PAUSE_S = 0.1
+SUMMARY_PERIOD_S = 0.5
+
+
+class Journal:
+    """The writing half of a planner's tenure.
+
+    :param keep_s: how long finished jobs can be asked for
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        tenure: Tenure,
+        planner: Planner,
+        *,
+        keep_s: float,
+        unix: Callable[[], float] = time.time,
+    ) -> None:
+        now = time.monotonic()
+        self._store = store
+        self._tenure = tenure
+        self._planner = planner
+        self._keep_s = keep_s
+        self._unix = unix
+        self._revision = tenure.token
+        self._renewal = 0
+        self._renewed_at = float("-inf")
+        self._confirmed_at = now
+        self._uncertain = False
+        self._failing = False
+        self._begun = 0
+        self._stored = 0
+        self._in_flight = False
+        self._summary = b""
+        self._summary_at = float("-inf")
+        self._changed = asyncio.Event()
+        self._advanced = asyncio.Condition()
+
+    @property
+    def lease_limit(self) -> float:
+        """Steady time beyond which no lease on a worker may be extended."""
+        return self._confirmed_at + WORKER_LEASE_HORIZON_S
+
+    def notify(self) -> None:
+        """Store changes of the planner soon."""
+        if self._planner.dirty:
+            self._changed.set()
+
+    async def run(self) -> None:
+        """Write until deposed.
+
+        :raises Deposed: if another host has the lease
+        """
+        while True:
+            due = self._renewed_at + RENEWAL_S - time.monotonic()
+            if not self._planner.dirty and not self._uncertain and due > 0:
+                self._changed.clear()
+                try:
+                    await asyncio.wait_for(self._changed.wait(), due)
+                except TimeoutError:
+                    pass
+            await self.write()
+
+    async def settle(self, timeout_s: float) -> bool:
+        """Wait until all changes made so far are stored."""
+        if not self._planner.dirty and not self._in_flight:
+            return True
+        target = self._begun + (1 if self._planner.dirty else 0)
+        self.notify()
+        try:
+            async with self._advanced:
+                await asyncio.wait_for(
+                    self._advanced.wait_for(lambda: self._stored >= target), timeout_s
+                )
+        except TimeoutError:
+            return False
+        return True
+
+    async def release(self) -> None:
+        """Store what is left and give the lease up."""
+        await self.write(holder="")
+
+    async def write(self, holder: str | None = None) -> None:
+        """Write one transaction.
+
+        :raises Deposed: if another host has the lease
+        """
+        now = time.monotonic()
+        names = self._take_dirty()
+        writes = self._progress_writes(names)
+        renew = (
+            holder is not None
+            or self._uncertain
+            or now - self._renewed_at >= RENEWAL_S
+        )
+        if renew:
+            writes.append(self._lease_write(holder, now))
+        summary = self._summary_write(now)
+        writes += summary
+        removals = self._removals() if renew else []
+        self._begun += 1
+        begun = self._begun
+        self._in_flight = True
+        try:
+            revision = await self._store.commit(
+                (Expected(LEASE_TABLE, LEASE_KEY, self._revision),),
+                writes,
+                removals,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except CommitConflict as conflict:
+            self._planner.dirty |= names
+            self._resolve(conflict)
+            return
+        except (StoreRefused, StoreUnknown) as error:
+            self._planner.dirty |= names
+            self._note_failure(error)
+            await asyncio.sleep(PAUSE_S)
+            return
+        finally:
+            self._in_flight = False
+        if renew:
+            self._revision = revision
+            self._renewed_at = self._confirmed_at = now
+            self._uncertain = False
+        if summary:
+            self._summary, self._summary_at = summary[0].value, now
+        for removal in removals:
+            if removal.key in self._planner.jobs:
+                self._planner.forget_job(removal.key)
+        if self._failing:
+            self._failing = False
+            log(events.DEPENDENCY_REGAINED, dependency="store writes")
+        async with self._advanced:
+            self._stored = begun
+            self._advanced.notify_all()
+
+    def _take_dirty(self) -> set[str]:
+        dirty = self._planner.dirty
+        if len(dirty) <= MOST_ENTRIES:
+            self._planner.dirty = set()
+            return dirty
+        names = set(sorted(dirty)[:MOST_ENTRIES])
+        self._planner.dirty = dirty - names
+        return names
+
+    def _progress_writes(self, names: set[str]) -> list[Write]:
+        jobs = self._planner.jobs
+        return [
+            Write(JOBS, name + PROGRESS_SUFFIX, encode_progress(jobs[name].progress()))
+            for name in sorted(names)
+            if name in jobs
+        ]
+
+    def _lease_write(self, holder: str | None, now: float) -> Write:
+        self._renewal += 1
+        lease = LeaseRow(
+            self._tenure.holder if holder is None else holder,
+            self._tenure.token,
+            self._renewal,
+            list(self._planner.doubtful_workers(now)),
+        )
+        return Write(LEASE_TABLE, LEASE_KEY, encode_lease(lease))
+
+    def _summary_write(self, now: float) -> list[Write]:
+        if now - self._summary_at < SUMMARY_PERIOD_S:
+            return []
+        value = msgspec.json.encode(self._planner.waiting_counts(), order="sorted")
+        if value == self._summary:
+            return []
+        return [Write(SUMMARY, WAITING_KEY, value)]
+
+    def _removals(self) -> list[Removal]:
+        """Return rows of jobs that nobody asks for any more."""
+        limit = self._unix() - self._keep_s
+        old = [
+            name
+            for name, job in self._planner.jobs.items()
+            if job.finished and 0 < job.finished_s < limit
+        ]
+        return [
+            Removal(JOBS, name + suffix)
+            for name in old[:3]
+            for suffix in ("", CANCEL_SUFFIX, PROGRESS_SUFFIX)
+        ]
+
+    def _resolve(self, conflict: CommitConflict) -> None:
+        row = next(iter(conflict.rows), None)
+        lease = decode_lease(row)
+        own = lease.holder == self._tenure.holder
+        if row is None or not own or lease.token not in (0, self._tenure.token):
+            raise Deposed(lease.holder)
+        # A renewal of our own whose answer was lost.
+        self._revision = row.revision
+        self._uncertain = True
+
+    def _note_failure(self, error: StoreRefused | StoreUnknown) -> None:
+        if isinstance(error, StoreUnknown):
+            self._uncertain = True
+        if not self._failing:
+            self._failing = True
+            log(events.DEPENDENCY_LOST, dependency="store writes", error=error)
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -0,0 +1,307 @@
+"""One tenure of the planner: follows jobs and workers, plans, sends orders."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from bilberryhitch_jobs import (
+    Configuration,
+    Row,
+    Store,
+    decode_progress,
+    decode_request,
+)
+from bilberryhitch_jobs.acceptance import CANCEL_SUFFIX, JOBS, PROGRESS_SUFFIX
+from bilberryhitch_jobs.errors import STORE_ERRORS, RowUnreadable
+from bilberryhitch_jobs.follower import Follower
+from bilberryhitch_telemetry import events, log
+
+from .errors import Deposed, Isolated, WorkerFenced
+from .journal import Journal
+from .planner import Planner
+from .reports import WorkerEntry
+from .session import Session
+from .tenure import WORKER_LEASE_HORIZON_S, Tenure
+from .worker_calls import WorkerCalls
+from .workers import CLOCK_DRIFT, LEASE_SLACK_S
+
+# Orders that become due by time alone wait at most this long.
+TICK_S = 0.1
+# Changes within this time are planned together.
+BATCH_S = 0.004
+# A planner that loses most of its workers for this long steps down.
+ISOLATION_S = 2.0
+ISOLATION_SHARE = 0.5
+# A planned handover must leave most of the shutdown's time to open requests.
+RELEASE_S = 1.5
+# The least time after a takeover before the workers' silence is judged.
+ISOLATION_GRACE_S = 3.0
+
+
+class Lead:
+    """Everything that lives as long as one tenure.
+
+    :param worker_table: table in which workers register themselves
+    :param decode_worker: reads a registration; None for one that names no worker
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        tenure: Tenure,
+        calls: WorkerCalls,
+        *,
+        worker_table: str,
+        decode_worker: Callable[[Row], WorkerEntry | None],
+        configuration: Callable[[], Configuration | None],
+        keep_s: float,
+    ) -> None:
+        horizon = WORKER_LEASE_HORIZON_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
+        self.planner = Planner(
+            inherited_revision=tenure.token,
+            inherited_until=tenure.renewed_at + horizon,
+        )
+        for name in tenure.doubtful:
+            self.planner.add_doubtful(name)
+        self.journal = Journal(store, tenure, self.planner, keep_s=keep_s)
+        self._tenure = tenure
+        self._calls = calls
+        self._decode_worker = decode_worker
+        self._configuration = configuration
+        self._version = -1
+        self._jobs = Follower(store, JOBS, self._load_jobs, self._take_job_row)
+        self._worker_rows = Follower(
+            store, worker_table, self._load_workers, self._take_worker_row
+        )
+        self._requests: dict[str, Row] = {}
+        self._cancelled: set[str] = set()
+        self._sessions: dict[str, Session] = {}
+        self._group: asyncio.TaskGroup | None = None
+        self._wake = asyncio.Event()
+        self._connected_at = time.monotonic() + ISOLATION_GRACE_S
+
+    async def run(self) -> None:
+        """Plan until another host has the lease or the workers are out of reach.
+
+        :raises ExceptionGroup: with what ended the tenure
+        """
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            group.create_task(self.journal.run())
+            while not self.planner.jobs and self._jobs.heard_at < 0:
+                await self._first_read()
+            group.create_task(self._jobs.run())
+            group.create_task(self._worker_rows.run())
+            group.create_task(self._plan())
+
+    async def _first_read(self) -> None:
+        try:
+            await self._jobs.advance()
+        except STORE_ERRORS as error:
+            log(events.DEPENDENCY_LOST, dependency="store table jobs", error=error)
+            await asyncio.sleep(TICK_S)
+
+    async def _plan(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self._wake.wait(), TICK_S)
+                await asyncio.sleep(BATCH_S)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            now, unix_s = time.monotonic(), time.time()
+            self._adopt_configuration()
+            self.planner.tick(now=now, unix_s=unix_s)
+            for order in self.planner.plan(now=now, unix_s=unix_s):
+                session = self._sessions.get(order.worker)
+                if session is not None:
+                    self._spawn(session.send(order))
+            self.journal.notify()
+            self._check_isolation(now)
+
+    def _adopt_configuration(self) -> None:
+        configuration = self._configuration()
+        if configuration is not None and configuration.version != self._version:
+            self._version = configuration.version
+            self.planner.configure(configuration)
+
+    def _check_isolation(self, now: float) -> None:
+        listed = [name for name, worker in self.planner.workers.items() if worker.listed]
+        lost = [
+            name for name in listed if name in self._sessions and self._sessions[name].lost
+        ]
+        if len(lost) <= len(listed) * ISOLATION_SHARE or len(listed) < 2:
+            self._connected_at = max(self._connected_at, now)
+        elif now - self._connected_at > ISOLATION_S:
+            log(events.PLANNER_ISOLATED, lost=len(lost), workers=len(listed))
+            raise Isolated(len(lost), len(listed))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        assert self._group is not None
+        self._group.create_task(work)
+
+    def _changed(self) -> None:
+        self._wake.set()
+        self.journal.notify()
+
+    # Rows of jobs.
+
+    def _load_jobs(self, rows: tuple[Row, ...], revision: int) -> None:
+        for row in rows:
+            self._take_job_row(row)
+        log(events.JOBS_LOADED, jobs=len(self.planner.jobs), revision=revision)
+
+    def _take_job_row(self, row: Row) -> None:
+        if row.removed:
+            return
+        name, _, suffix = row.key.partition(".")
+        if suffix == CANCEL_SUFFIX[1:]:
+            # A listing has a job's cancellation before its progress.
+            self._cancelled.add(name)
+            self.planner.cancel_job(name, unix_s=time.time())
+        elif suffix == PROGRESS_SUFFIX[1:]:
+            self._add_job(name, row)
+        elif name not in self.planner.jobs:
+            self._requests[name] = row
+            return
+        self._changed()
+
+    def _add_job(self, name: str, progress_row: Row) -> None:
+        """Add a job once both of its rows are known; the request comes first."""
+        request_row = self._requests.pop(name, None)
+        if request_row is None or name in self.planner.jobs:
+            return
+        try:
+            request = decode_request(name, request_row.value)
+            progress = decode_progress(name, progress_row.value)
+        except RowUnreadable as error:
+            log(events.ROW_UNREADABLE, key=error.key, error=error)
+            return
+        self._adopt_configuration()
+        self.planner.add_job(
+            request,
+            progress,
+            request_row.revision,
+            now=time.monotonic(),
+            unix_s=time.time(),
+        )
+        if name in self._cancelled:
+            self.planner.cancel_job(name, unix_s=time.time())
+
+    # Rows of workers.
+
+    def _load_workers(self, rows: tuple[Row, ...], _revision: int) -> None:
+        present = {row.key for row in rows}
+        for name in list(self.planner.workers):
+            if name not in present:
+                self.planner.unlist_worker(name, now=time.monotonic())
+        for row in rows:
+            self._take_worker_row(row)
+
+    def _take_worker_row(self, row: Row) -> None:
+        now = time.monotonic()
+        if row.removed:
+            log(events.WORKER_UNLISTED, worker=row.key, revision=row.revision)
+            self.planner.unlist_worker(row.key, now=now)
+            self._changed()
+            return
+        entry = self._decode_worker(row)
+        if entry is None:
+            log(events.ROW_UNREADABLE, key=row.key, error="not a worker's entry")
+            return
+        known = self.planner.workers.get(entry.worker)
+        if known is None or known.entry != entry:
+            log(
+                events.WORKER_LISTED,
+                worker=entry.worker,
+                draining=entry.draining,
+                revision=row.revision,
+            )
+        self.planner.add_worker(entry, now=now)
+        if entry.worker not in self._sessions:
+            session = Session(
+                entry.worker,
+                self.planner,
+                self.journal,
+                self._tenure,
+                self._calls,
+                self._changed,
+            )
+            self._sessions[entry.worker] = session
+            self._spawn(self._attend(entry.worker, session))
+        self._changed()
+
+    async def _attend(self, name: str, session: Session) -> None:
+        try:
+            await session.run()
+        finally:
+            self._sessions.pop(name, None)
+
+
+class Candidate:
+    """Runs for the planner's lease on this host, tenure after tenure."""
+
+    def __init__(
+        self,
+        win: Callable[[], Coroutine[Any, Any, Tenure]],
+        lead: Callable[[Tenure], Lead],
+    ) -> None:
+        self._win = win
+        self._make_lead = lead
+        self._lead: Lead | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def leading(self) -> bool:
+        """Whether this host plans."""
+        return self._lead is not None
+
+    def start(self) -> None:
+        """Begin to run for the lease."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop; a lease that is held is given up."""
+        if self._task is None:
+            return
+        lead = self._lead
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        if lead is not None:
+            await self._release(lead)
+
+    async def _run(self) -> None:
+        while True:
+            tenure = await self._win()
+            lead = self._lead = self._make_lead(tenure)
+            log(events.PLANNER_STARTED, fencing_token=tenure.token)
+            try:
+                await lead.run()
+            except* Deposed as group:
+                _log_end(tenure, group)
+            except* WorkerFenced as group:
+                _log_end(tenure, group)
+            except* Isolated as group:
+                _log_end(tenure, group)
+                await self._release(lead)
+                await asyncio.sleep(ISOLATION_S)
+            except* Exception as group:
+                log(events.TASK_FAILED, error=group.exceptions[0])
+            finally:
+                self._lead = None
+
+    async def _release(self, lead: Lead) -> None:
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                await lead.journal.release()
+        except (Deposed, TimeoutError) as error:
+            log(events.PLANNER_RELEASE_FAILED, error=error)
+
+
+def _log_end(tenure: Tenure, group: BaseExceptionGroup[BaseException]) -> None:
+    log(
+        events.PLANNER_ENDED,
+        fencing_token=tenure.token,
+        reason=str(group.exceptions[0]) or type(group.exceptions[0]).__name__,
+    )
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -0,0 +1,122 @@
+"""Chooses workers for gangs and single tasks.
+
+Tasks are packed on the workers that have the least room left, which keeps whole
+workers and racks free for gangs.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from bilberryhitch_jobs import Demand, Step
+
+from .units import Unit
+from .workers import Worker
+
+
+def slots(free: Demand, step: Step, booked: int = 0) -> int:
+    """Return how many tasks of a step fit into free capacity."""
+    demand = step.demand
+    most = step.spread - booked if step.spread else step.count
+    if demand.cpu and not step.fills:
+        most = min(most, free.cpu // demand.cpu)
+    if demand.memory:
+        most = min(most, free.memory // demand.memory)
+    if demand.gpu:
+        most = min(most, free.gpu // demand.gpu)
+    return max(0, most)
+
+
+def task_slots(worker: Worker, step: Step, booked: int = 0) -> int:
+    """Return how many more tasks of a step a worker has room for.
+
+    :param booked: tasks of the same occurrence that it runs already
+    """
+    return slots(worker.free, step, booked)
+
+
+def total_slots(worker: Worker, step: Step) -> int:
+    """Return how many tasks of a step an empty worker has room for."""
+    return slots(worker.entry.capacity, step)
+
+
+def suits(worker: Worker, step: Step) -> bool:
+    """Return whether a worker's labels allow a step."""
+    return not step.required_label or step.required_label in worker.entry.labels
+
+
+def place_gang(unit: Unit, workers: Sequence[Worker]) -> dict[int, Worker] | None:
+    """Return a worker for each task of a gang, or None if there is no room.
+
+    A gang that is bound to a rack waits for one, unless no rack could ever hold it.
+    """
+    step = unit.step.step
+    racks = _racks(workers)
+    choices: list[list[Worker]] = []
+    if step.data_rack and _could_hold(racks.get(step.data_rack, ()), step):
+        choices = [racks[step.data_rack]]
+    elif step.same_rack or step.data_rack:
+        choices = [rack for rack in racks.values() if _could_hold(rack, step)]
+    best = min(
+        filter(None, (_fill(rack, step) for rack in choices or [list(workers)])),
+        key=lambda option: option[0],
+        default=None,
+    )
+    if best is None:
+        return None
+    return dict(zip(unit.task_indexes, best[1], strict=True))
+
+
+def place_task(
+    unit: Unit, workers: Iterable[Worker], *, anywhere: bool
+) -> Worker | None:
+    """Return a worker for a single task, or None if there is no room.
+
+    :param anywhere: a rack without the task's data will do
+    """
+    step = unit.step.step
+    booked = _booked(unit) if step.spread else {}
+    best: tuple[tuple[bool, int, int, str], Worker] | None = None
+    for worker in workers:
+        away = bool(step.data_rack) and worker.entry.rack != step.data_rack
+        if away and not anywhere:
+            continue
+        if task_slots(worker, step, booked.get(worker.entry.worker, 0)) < 1:
+            continue
+        rank = (away, *_tightness(worker), worker.entry.worker)
+        if best is None or rank < best[0]:
+            best = (rank, worker)
+    return best[1] if best else None
+
+
+def _racks(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    return racks
+
+
+def _could_hold(rack: Iterable[Worker], step: Step) -> bool:
+    return sum(total_slots(worker, step) for worker in rack) >= step.count
+
+
+def _fill(workers: list[Worker], step: Step) -> tuple[int, list[Worker]] | None:
+    """Return accelerators left over and a worker for each task, or None."""
+    members: list[Worker] = []
+    for worker in sorted(workers, key=_tightness):
+        members += [worker] * min(task_slots(worker, step), step.count - len(members))
+        if len(members) == step.count:
+            left = sum(each.free.gpu for each in workers)
+            return left - step.count * step.demand.gpu, members
+    return None
+
+
+def _booked(unit: Unit) -> dict[str, int]:
+    """Count the tasks of the unit's occurrence by worker."""
+    counts: dict[str, int] = {}
+    for other in unit.step.units.values():
+        for run in other.runs.values():
+            counts[run.worker] = counts.get(run.worker, 0) + 1
+    return counts
+
+
+def _tightness(worker: Worker) -> tuple[int, int]:
+    return worker.free.gpu, worker.free.cpu
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -0,0 +1,698 @@
+"""Decides what runs where; free of I/O.
+
+The planner is told what has happened (jobs, cancellations, workers' reports,
+answers to orders, the time) and emits orders to workers and the names of jobs
+whose progress must be stored. A run that may exist holds its room on its worker
+and its unit: neither is given to another run before the first is certainly gone.
+"""
+
+from bilberryhitch_jobs import (
+    Configuration,
+    Demand,
+    JobProgress,
+    JobRequest,
+    JobState,
+    Queue,
+    TaskName,
+)
+from bilberryhitch_telemetry import events, log
+
+from .ordering import job_order
+from .placement import place_gang, place_task, suits
+from .reclaim import Eviction, choose_eviction
+from .reports import (
+    EndedTask,
+    EndKind,
+    HoldReport,
+    Order,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    StopOutcome,
+    WorkerEntry,
+)
+from .runs import Run, RunState
+from .units import JobBook, StepBook, Unit
+from .workers import Worker
+
+# A task that shows no progress for this long stands still: the slowest workers
+# seen still gain a percent within a second.
+STALL_S = 3.5
+# After an order that did not lead to a run.
+RETRY_S = 0.15
+# Room that frees by itself within this time costs no work.
+RECLAIM_AFTER_S = 0.4
+# Data on another rack is fetched after this wait while half of the room is idle.
+AWAY_AFTER_S = 1.5
+IDLE_SHARE = 0.5
+# Workers list at most this many ends in an answer.
+ENDS_PER_REPORT = 500
+
+
+class Planner:
+    """The state of one planner's tenure.
+
+    :param inherited_revision: jobs stored up to this revision may have been
+        started by an earlier planner
+    :param inherited_until: steady time at which all leases that an earlier
+        planner granted have lapsed
+    """
+
+    def __init__(
+        self,
+        *,
+        inherited_revision: int,
+        inherited_until: float,
+    ) -> None:
+        self.jobs: dict[str, JobBook] = {}
+        self.workers: dict[str, Worker] = {}
+        self.dirty: set[str] = set()
+        self._orders: list[Order] = []
+        self._ready: dict[tuple[str, int, int], StepBook] = {}
+        self._kept: dict[str, Unit] = {}
+        self._inherited_revision = inherited_revision
+        self._inherited_until = inherited_until
+        self._queues: dict[str, Queue] = {}
+        self._guaranteed_gpu: dict[str, int] = {}
+        self._urgent_gpu: dict[str, int] = {}
+
+    @property
+    def inheritance_open(self) -> bool:
+        """Whether a worker may run something that this planner has not seen."""
+        return any(not worker.synced for worker in self.workers.values())
+
+    # What happens to jobs.
+
+    def add_job(
+        self,
+        request: JobRequest,
+        progress: JobProgress,
+        revision: int,
+        *,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Take over an accepted job; a known one is left as it is."""
+        if request.job in self.jobs:
+            return
+        age = max(0.0, unix_s - request.accepted_s)
+        job = JobBook(
+            request,
+            progress,
+            inherited=revision <= self._inherited_revision,
+            arrived_at=now - age if revision <= self._inherited_revision else now,
+        )
+        job.queue = self._queues.get(request.queue.name, job.queue)
+        self.jobs[request.job] = job
+        if job.finished:
+            return
+        if job.complete:
+            self._finish(job, JobState.COMPLETED, unix_s)
+            return
+        for unit in job.units:
+            if not unit.done and unit.failed_runs and unit.attempts_left <= 0:
+                self._finish(job, JobState.FAILED, unix_s)
+                return
+        self._open_steps(job, now)
+
+    def cancel_job(self, name: str, *, unix_s: float) -> None:
+        """Stop a job; one that has ended stays as it is."""
+        job = self.jobs.get(name)
+        if job is not None and not job.finished:
+            self._finish(job, JobState.CANCELLED, unix_s)
+
+    def forget_job(self, name: str) -> None:
+        """Drop a finished job whose rows are removed."""
+        self.jobs.pop(name, None)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply the terms of the queues; a removed queue keeps its last ones."""
+        queues = {queue.name: queue for queue in configuration.queues}
+        for job in self.jobs.values():
+            job.queue = queues.get(job.request.queue.name, job.queue)
+        self._queues = queues
+        self._guaranteed_gpu = {
+            account.name: account.guaranteed_gpu
+            for account in configuration.accounts.values()
+        }
+
+    # What happens to workers.
+
+    def add_worker(self, entry: WorkerEntry, *, now: float) -> Worker:
+        """Take a worker's registration."""
+        worker = self.workers.get(entry.worker)
+        if worker is None:
+            worker = Worker(entry, now)
+            worker.lease_until = max(now, self._inherited_until)
+            self.workers[entry.worker] = worker
+        worker.listed = True
+        worker.update_entry(entry)
+        return worker
+
+    def unlist_worker(self, name: str, *, now: float) -> None:
+        """Note that a worker's registration is gone; its runs may go on."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        worker.listed = False
+        if not worker.runs and worker.synced:
+            del self.workers[name]
+
+    def worker_gone(self, name: str, *, now: float, unix_s: float) -> None:
+        """Release all runs of an incarnation that is certain to have ended."""
+        worker = self.workers.pop(name, None)
+        if worker is None:
+            return
+        log(events.WORKER_GONE, worker=name, runs=len(worker.runs))
+        for run in list(worker.runs.values()):
+            self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+
+    def report(
+        self,
+        name: str,
+        report: HoldReport,
+        *,
+        sent_at: float,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Take a worker's list of runs and ends.
+
+        :param sent_at: steady time at which the worker was asked
+        """
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        if worker.born_ms not in (0, report.born_ms):
+            # Another life under the same identifier: nothing of before is left.
+            for run in list(worker.runs.values()):
+                self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+            worker.last_end = 0
+        worker.born_ms = report.born_ms
+        worker.set_clock(report.clock_s, now)
+        if not worker.synced:
+            worker.synced = True
+            log(events.WORKER_SYNCED, worker=name, running=len(report.running))
+        for ended in report.ended:
+            self._take_end(worker, ended, now, unix_s)
+        listed = set()
+        for running in report.running:
+            listed.add((running.task, running.run))
+            self._take_running(worker, running, now)
+        if len(report.ended) < ENDS_PER_REPORT:
+            for key, run in list(worker.runs.items()):
+                settled = run.settled_at is not None and run.settled_at < sent_at
+                if key not in listed and settled:
+                    self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+
+    def start_answered(
+        self,
+        order: StartOrder,
+        outcome: StartOutcome,
+        *,
+        certain: bool,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Take the answer to a start.
+
+        :param certain: no earlier copy of the order went unanswered
+        """
+        worker = self.workers.get(order.worker)
+        run = worker.runs.get((order.task, order.run)) if worker else None
+        if worker is None or run is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            run.settled_at = now
+            if run.state is RunState.ORDERED:
+                run.state = RunState.RUNNING
+                run.advanced_at = now
+            return
+        log(
+            events.START_NOT_DONE,
+            request_id=order.task.job,
+            task=_text(order.task),
+            run=order.run,
+            worker=order.worker,
+            outcome=str(outcome),
+            certain=certain,
+        )
+        if outcome in (StartOutcome.REFUSED, StartOutcome.NO_ROOM):
+            worker.note_refusal(now)
+        if run.unit is not None:
+            run.unit.retry_at = now + RETRY_S
+        if outcome is StartOutcome.OLD:
+            # It has ended there, or can never begin; the next list tells.
+            run.state = RunState.STOPPING
+            run.settled_at = now
+            self._stop_others(run)
+        elif certain and outcome is not StartOutcome.UNKNOWN:
+            self._run_ended(worker, run, EndKind.STOPPED, "", now, unix_s)
+        else:
+            worker.note_refusal(now)
+            self._order_stop(run)
+            self._stop_others(run)
+
+    def stop_answered(
+        self, order: StopOrder, outcome: StopOutcome, *, now: float
+    ) -> None:
+        """Take the answer to a stop."""
+        worker = self.workers.get(order.worker)
+        run = worker.runs.get((order.task, order.run)) if worker else None
+        if run is not None and outcome is StopOutcome.STOPPED:
+            run.settled_at = now
+
+    def tick(self, *, now: float, unix_s: float) -> None:
+        """Release what has lapsed and stop what stands still."""
+        for name, worker in list(self.workers.items()):
+            if now > worker.lease_until:
+                if worker.runs:
+                    log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
+                worker.synced = worker.synced or not worker.listed
+                for run in list(worker.runs.values()):
+                    self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+                if not worker.listed:
+                    del self.workers[name]
+                continue
+            for run in list(worker.runs.values()):
+                self._check_stall(worker, run, now)
+
+    def add_doubtful(self, name: str) -> None:
+        """Note an unregistered worker on which something may still run."""
+        if name not in self.workers:
+            entry = WorkerEntry(name, "", "", "", Demand(), frozenset(), "")
+            worker = Worker(entry, self._inherited_until)
+            worker.listed = False
+            self.workers[name] = worker
+
+    # Decisions.
+
+    def plan(self, *, now: float, unix_s: float) -> list[Order]:
+        """Place what can be placed and return the orders to send."""
+        usable: dict[str, list[Worker]] = {}
+        for worker in self.workers.values():
+            if worker.usable(now):
+                usable.setdefault(worker.entry.service, []).append(worker)
+        self._urgent_gpu = self._count_urgent()
+        blocked = self.inheritance_open and now < self._inherited_until
+        for step in self._steps_in_order(now):
+            if step.job.request.due_s(step.occurrence) > unix_s:
+                continue
+            self._place_step(step, usable, blocked, now)
+        orders, self._orders = self._orders, []
+        return orders
+
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the number of jobs that have not begun, by queue."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if not job.finished and not job.begun:
+                name = job.request.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def doubtful_workers(self, now: float) -> tuple[str, ...]:
+        """Return unregistered workers on which something may still run."""
+        return tuple(
+            name
+            for name, worker in self.workers.items()
+            if not worker.listed and worker.runs and now < worker.lease_until
+        )
+
+    def _steps_in_order(self, now: float) -> list[StepBook]:
+        steps = [step for step in self._ready.values() if step.waiting]
+        return sorted(steps, key=lambda step: job_order(step, now))
+
+    def _place_step(
+        self,
+        step: StepBook,
+        usable: dict[str, list[Worker]],
+        blocked: bool,
+        now: float,
+    ) -> None:
+        all_workers = usable.get(step.job.queue.service, [])
+        workers = [worker for worker in all_workers if suits(worker, step.step)]
+        anywhere = self._data_may_move(step, workers, now)
+        for unit in list(step.waiting.values()):
+            if unit.retry_at > now or (
+                blocked and step.job.inherited and not unit.adopted
+            ):
+                continue
+            free = self._allowed(unit, workers)
+            if step.step.gang:
+                members = place_gang(unit, free)
+            else:
+                worker = place_task(unit, free, anywhere=anywhere)
+                members = {unit.index: worker} if worker else None
+            if members is None:
+                self._reclaim(unit, workers, now)
+                break
+            self._start(unit, members, now)
+
+    def _allowed(self, unit: Unit, workers: list[Worker]) -> list[Worker]:
+        """Leave out workers kept for others, and failing ones for a last attempt."""
+        careful = unit.attempts_left <= 1 and unit.failed_runs
+        return [
+            worker
+            for worker in workers
+            if self._kept.get(worker.entry.worker, unit) is unit
+            and not (worker.suspect and (careful or unit.step.step.gang))
+        ]
+
+    def _data_may_move(
+        self, step: StepBook, workers: list[Worker], now: float
+    ) -> bool:
+        rack = step.step.data_rack
+        if not rack or all(worker.entry.rack != rack for worker in workers):
+            return True
+        waiting_since = min(unit.waiting_since for unit in step.waiting.values())
+        if now - waiting_since < AWAY_AFTER_S:
+            return False
+        total = sum(worker.entry.capacity.cpu for worker in workers)
+        return sum(worker.free.cpu for worker in workers) > total * IDLE_SHARE
+
+    def _start(self, unit: Unit, members: dict[int, Worker], now: float) -> None:
+        step, job = unit.step, unit.step.job
+        unit.last_run += 1
+        step.waiting.pop(unit.index, None)
+        for name in [name for name, kept in self._kept.items() if kept is unit]:
+            del self._kept[name]
+        demand = _booked_demand(step)
+        for index, worker in members.items():
+            name = worker.entry.worker
+            run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
+            unit.runs[index] = run
+            worker.add_run(run)
+            self._orders.append(
+                StartOrder(
+                    name, run.task, run.number, job.request.spec, unit.saved
+                )
+            )
+        job.state = JobState.RUNNING
+        if job.queue.priority == 0:
+            account = job.request.account
+            held = self._urgent_gpu.get(account, 0)
+            self._urgent_gpu[account] = held + _unit_gpu(unit)
+        self.dirty.add(job.request.job)
+        log(
+            events.UNIT_STARTED,
+            request_id=job.request.job,
+            task=_text(unit.task(unit.task_indexes[0])),
+            run=unit.last_run,
+            workers=[worker.entry.worker for worker in members.values()],
+            waited_s=round(now - unit.waiting_since, 3),
+            saved=unit.saved,
+        )
+
+    def _reclaim(self, unit: Unit, workers: list[Worker], now: float) -> None:
+        """Stop others' work if the unit's account is below its guarantee."""
+        if (
+            unit.step.job.queue.priority != 0
+            or now - unit.waiting_since < RECLAIM_AFTER_S
+            or any(kept is unit for kept in self._kept.values())
+            or not self._within_guarantee(unit)
+        ):
+            return
+        step = unit.step.step
+        candidates = [
+            worker for worker in workers if worker.entry.worker not in self._kept
+        ]
+        count = step.count if step.gang else 1
+        eviction: Eviction | None = None
+        if step.same_rack or step.data_rack:
+            racks: dict[str, list[Worker]] = {}
+            for worker in candidates:
+                racks.setdefault(worker.entry.rack, []).append(worker)
+            eviction = choose_eviction(
+                step, count, list(racks.values()), self._evictable, now
+            )
+        if eviction is None:
+            eviction = choose_eviction(step, count, [candidates], self._evictable, now)
+        if eviction is None:
+            return
+        for name in eviction.workers:
+            self._kept[name] = unit
+        for victim in eviction.units:
+            for run in victim.runs.values():
+                self._order_stop(run)
+        log(
+            events.UNITS_EVICTED,
+            request_id=unit.step.job.request.job,
+            task=_text(unit.task(unit.task_indexes[0])),
+            evicted=[_text(each.task(each.task_indexes[0])) for each in eviction.units],
+            lost_core_s=round(eviction.cost, 1),
+            waited_s=round(now - unit.waiting_since, 3),
+        )
+
+    def _evictable(self, unit: Unit) -> bool:
+        """Return whether a unit uses what is guaranteed to nobody or to others."""
+        job = unit.step.job
+        if unit.step.step.lasting:
+            return False
+        if job.queue.priority > 0:
+            return True
+        account = job.request.account
+        rest = self._urgent_gpu.get(account, 0) - _unit_gpu(unit)
+        return rest >= self._guaranteed_gpu.get(account, 0)
+
+    def _within_guarantee(self, unit: Unit) -> bool:
+        account = unit.step.job.request.account
+        wanted = self._urgent_gpu.get(account, 0) + _unit_gpu(unit)
+        return wanted <= self._guaranteed_gpu.get(account, 0)
+
+    def _count_urgent(self) -> dict[str, int]:
+        """Return accelerators held by urgent work, by account."""
+        held: dict[str, int] = {}
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                if run.unit is None or run.state is RunState.STOPPING:
+                    continue
+                job = run.unit.step.job
+                if job.queue.priority == 0:
+                    account = job.request.account
+                    held[account] = held.get(account, 0) + run.demand.gpu
+        return held
+
+    # Bookkeeping.
+
+    def _open_steps(self, job: JobBook, now: float) -> None:
+        for (occurrence, index), step in job.steps.items():
+            key = (job.request.job, occurrence, index)
+            if key in self._ready or not step.undone or not step.ready:
+                continue
+            self._ready[key] = step
+            for unit in step.waiting.values():
+                unit.waiting_since = max(unit.waiting_since, min(now, job.arrived_at))
+
+    def _finish(self, job: JobBook, state: JobState, unix_s: float) -> None:
+        job.state = state
+        job.finished_s = unix_s
+        name = job.request.job
+        self.dirty.add(name)
+        log(events.JOB_ENDED, request_id=name, state=str(state))
+        for unit in job.units:
+            if not unit.done:
+                for run in unit.runs.values():
+                    self._order_stop(run)
+        for occurrence, index in job.steps:
+            self._ready.pop((name, occurrence, index), None)
+        for worker, unit in list(self._kept.items()):
+            if unit.step.job is job:
+                del self._kept[worker]
+
+    def _take_end(
+        self, worker: Worker, ended: EndedTask, now: float, unix_s: float
+    ) -> None:
+        if ended.sequence <= worker.last_end:
+            return
+        worker.last_end = ended.sequence
+        run = worker.runs.get((ended.task, ended.run))
+        log(
+            events.RUN_ENDED,
+            request_id=ended.task.job,
+            task=_text(ended.task),
+            run=ended.run,
+            worker=worker.entry.worker,
+            how=str(ended.how),
+            sequence=ended.sequence,
+            known=run is not None,
+        )
+        if run is not None:
+            self._run_ended(worker, run, ended.how, ended.saved, now, unix_s)
+            return
+        job = self.jobs.get(ended.task.job)
+        unit = job.find_unit(ended.task) if job else None
+        if job is None or unit is None or unit.done or job.finished:
+            return
+        unit.last_run = max(unit.last_run, ended.run)
+        if not unit.runs:
+            self._settle(unit, ended.run, ended.how, ended.saved, now, unix_s)
+
+    def _run_ended(
+        self,
+        worker: Worker,
+        run: Run,
+        how: EndKind,
+        saved: str,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Release a run that is gone and draw the consequences for its unit."""
+        worker.drop_run(run)
+        if how is EndKind.DONE:
+            worker.note_success()
+        elif how is EndKind.FAILED:
+            worker.note_failure(now)
+        unit = run.unit
+        if unit is None:
+            return
+        if unit.runs.get(run.task.index) is run:
+            del unit.runs[run.task.index]
+        if not unit.step.job.finished:
+            self._settle(unit, run.number, how, saved or run.saved, now, unix_s)
+
+    def _settle(
+        self,
+        unit: Unit,
+        number: int,
+        how: EndKind,
+        saved: str,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Apply the end of one of a unit's runs."""
+        step, job = unit.step, unit.step.job
+        if unit.done:
+            return
+        self.dirty.add(job.request.job)
+        if not job.begun:
+            job.state = JobState.RUNNING
+        if how is EndKind.DONE and not step.step.lasting:
+            step.mark_done(unit)
+            if job.complete:
+                self._finish(job, JobState.COMPLETED, unix_s)
+            elif not step.undone:
+                self._open_steps(job, now)
+            return
+        if saved and number == unit.last_run:
+            unit.saved = saved
+        if how is EndKind.FAILED and not step.step.lasting:
+            unit.failed_runs.add(number)
+            if unit.attempts_left <= 0:
+                self._finish(job, JobState.FAILED, unix_s)
+                return
+        for run in unit.runs.values():
+            self._order_stop(run)
+        if not unit.runs:
+            unit.waiting_since = now
+            step.waiting[unit.index] = unit
+
+    def _take_running(self, worker: Worker, running: RunningTask, now: float) -> None:
+        run = worker.runs.get((running.task, running.run))
+        if run is None:
+            run = self._adopt(worker, running, now)
+        if run.state is RunState.ORDERED:
+            run.state = RunState.RUNNING
+        if run.state is RunState.RUNNING and run.settled_at is None:
+            run.settled_at = now
+        if running.percent != run.percent:
+            run.percent = running.percent
+            run.advanced_at = now
+        if running.saved:
+            run.saved = running.saved
+
+    def _adopt(self, worker: Worker, running: RunningTask, now: float) -> Run:
+        """Book a run that this planner has not ordered; stop it if unneeded."""
+        job = self.jobs.get(running.task.job)
+        unit = job.find_unit(running.task) if job else None
+        demand = _booked_demand(unit.step) if unit else Demand()
+        needed = (
+            job is not None
+            and not job.finished
+            and unit is not None
+            and not unit.done
+            and running.run >= unit.last_run
+            and all(run.number == running.run for run in unit.runs.values())
+            and running.task.index not in unit.runs
+        )
+        run = Run(
+            running.task,
+            running.run,
+            demand,
+            worker.entry.worker,
+            unit if needed else None,
+            now,
+        )
+        run.settled_at = now
+        worker.add_run(run)
+        log(
+            events.RUN_ADOPTED,
+            request_id=running.task.job,
+            task=_text(running.task),
+            run=running.run,
+            worker=worker.entry.worker,
+            needed=needed,
+        )
+        if not needed or unit is None or job is None:
+            self._order_stop(run)
+            return run
+        run.state = RunState.RUNNING
+        unit.runs[running.task.index] = run
+        unit.last_run = running.run
+        unit.adopted = True
+        unit.step.waiting.pop(unit.index, None)
+        if not job.begun:
+            job.state = JobState.RUNNING
+        self.dirty.add(running.task.job)
+        return run
+
+    def _order_stop(self, run: Run) -> None:
+        if run.state is RunState.STOPPING:
+            return
+        run.state = RunState.STOPPING
+        run.settled_at = None
+        self._orders.append(StopOrder(run.worker, run.task, run.number))
+
+    def _stop_others(self, run: Run) -> None:
+        """Stop the other members of a gang that cannot come together."""
+        if run.unit is None:
+            return
+        for other in run.unit.runs.values():
+            if other is not run:
+                self._order_stop(other)
+
+    def _check_stall(self, worker: Worker, run: Run, now: float) -> None:
+        unit = run.unit
+        if (
+            run.state is not RunState.RUNNING
+            or unit is None
+            or unit.step.step.lasting
+            or now - run.advanced_at < STALL_S
+            or now - worker.answered_at > 1.0
+        ):
+            return
+        log(
+            events.RUN_STALLED,
+            request_id=run.task.job,
+            task=_text(run.task),
+            run=run.number,
+            worker=run.worker,
+            percent=run.percent,
+        )
+        worker.note_failure(now)
+        for each in unit.runs.values():
+            self._order_stop(each)
+
+
+def _booked_demand(step: StepBook) -> Demand:
+    demand = step.step.demand
+    return demand._replace(cpu=0) if step.step.fills else demand
+
+
+def _unit_gpu(unit: Unit) -> int:
+    return len(unit.task_indexes) * unit.step.step.demand.gpu
+
+
+def _text(task: TaskName) -> str:
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/reclaim.py
@@ -0,0 +1,126 @@
+"""Chooses runs to stop so that an urgent gang within its guarantee can start."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from bilberryhitch_jobs import Step
+
+from .placement import slots, total_slots
+from .runs import Run, RunState
+from .units import Unit
+from .workers import Worker
+
+# An accelerator's work is worth this many cores in what a stop throws away.
+CORES_PER_GPU = 8
+
+
+class Eviction(NamedTuple):
+    """A way to make room.
+
+    :param units: what is stopped
+    :param workers: where the room arises, kept for the unit that needs it
+    :param cost: core-seconds of work thrown away
+    """
+
+    units: tuple[Unit, ...]
+    workers: tuple[str, ...]
+    cost: float
+
+
+def choose_eviction(
+    step: Step,
+    missing: int,
+    racks: Sequence[Sequence[Worker]],
+    evictable: Callable[[Unit], bool],
+    now: float,
+) -> Eviction | None:
+    """Return the cheapest eviction that makes room for ``missing`` tasks.
+
+    :param racks: groups of workers; all tasks go into one of them
+    :param evictable: whether a unit may be stopped
+    """
+    options = (_clear(step, missing, rack, evictable, now) for rack in racks)
+    return min(
+        filter(None, options), key=lambda eviction: eviction.cost, default=None
+    )
+
+
+def lost_work(unit: Unit, now: float) -> float:
+    """Return core-seconds that a stop of a unit throws away."""
+    step = unit.step.step
+    cores = step.demand.cpu / 1000 + step.demand.gpu * CORES_PER_GPU
+    elapsed = max((now - run.ordered_at for run in unit.runs.values()), default=0.0)
+    if step.saves_progress:
+        elapsed = min(elapsed, 1.0)
+    return cores * elapsed * len(unit.runs)
+
+
+def _clear(
+    step: Step,
+    missing: int,
+    workers: Sequence[Worker],
+    evictable: Callable[[Unit], bool],
+    now: float,
+) -> Eviction | None:
+    stopped: dict[int, Unit] = {}
+    used: list[str] = []
+    cost = 0.0
+    found = 0
+    plans = sorted(
+        (plan for worker in workers if (plan := _plan(step, worker, evictable, now))),
+        key=lambda plan: plan.cost / plan.slots,
+    )
+    for plan in plans:
+        fresh = [unit for unit in plan.units if id(unit) not in stopped]
+        cost += sum(lost_work(unit, now) for unit in fresh)
+        stopped.update((id(unit), unit) for unit in fresh)
+        used.append(plan.worker)
+        found += plan.slots
+        if found >= missing:
+            return Eviction(tuple(stopped.values()), tuple(used), cost)
+    return None
+
+
+class _WorkerPlan(NamedTuple):
+    worker: str
+    slots: int
+    units: tuple[Unit, ...]
+    cost: float
+
+
+def _plan(
+    step: Step, worker: Worker, evictable: Callable[[Unit], bool], now: float
+) -> _WorkerPlan | None:
+    """Stop the cheapest runs of a worker until no further task would fit."""
+    free = worker.free
+    for run in worker.runs.values():
+        if run.state is RunState.STOPPING:
+            free = free.plus(run.demand)
+    most = total_slots(worker, step)
+    victims = sorted(
+        (run for run in worker.runs.values() if _may_stop(run, evictable)),
+        key=lambda run: lost_work(run.unit, now) if run.unit else 0.0,
+    )
+    best = slots(free, step)
+    taken: list[Unit] = []
+    for run in victims:
+        if best >= most or run.unit is None:
+            break
+        free = free.plus(run.demand)
+        taken.append(run.unit)
+        best = slots(free, step)
+    if best == 0:
+        return None
+    units = tuple({id(unit): unit for unit in taken}.values())
+    return _WorkerPlan(
+        worker.entry.worker, best, units, sum(lost_work(unit, now) for unit in units)
+    )
+
+
+def _may_stop(run: Run, evictable: Callable[[Unit], bool]) -> bool:
+    return (
+        run.state is not RunState.STOPPING
+        and run.unit is not None
+        and evictable(run.unit)
+    )
+
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/runs.py
@@ -0,0 +1,65 @@
+"""A run of a task on a worker."""
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from bilberryhitch_jobs import Demand, TaskName
+
+if TYPE_CHECKING:
+    from .units import Unit
+
+
+class RunState(Enum):
+    """What is known of a run.
+
+    ``ORDERED``: the start has not been answered; it may be there or come yet.
+    """
+
+    ORDERED = auto()
+    RUNNING = auto()
+    STOPPING = auto()
+
+
+class Run:
+    """A run that may exist on a worker, and holds its room there.
+
+    :ivar unit: what it belongs to, or None for a run nobody needs
+    :ivar settled_at: steady time of the answer after which a listing without
+        the run proves that it is gone; None while it may still appear
+    :ivar advanced_at: steady time of the last visible progress
+    """
+
+    __slots__ = (
+        "advanced_at",
+        "demand",
+        "number",
+        "ordered_at",
+        "percent",
+        "saved",
+        "settled_at",
+        "state",
+        "task",
+        "unit",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        task: TaskName,
+        number: int,
+        demand: Demand,
+        worker: str,
+        unit: "Unit | None",
+        now: float,
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.demand = demand
+        self.worker = worker
+        self.unit = unit
+        self.state = RunState.ORDERED
+        self.saved = ""
+        self.percent = 0.0
+        self.ordered_at = now
+        self.advanced_at = now
+        self.settled_at: float | None = None
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/session.py
@@ -0,0 +1,192 @@
+"""The planner's conversation with one worker."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from bilberryhitch_telemetry import events, log
+
+from .errors import WorkerFenced, WorkerGone, WorkerUnreachable
+from .journal import Journal
+from .planner import Planner
+from .reports import (
+    HoldReport,
+    Order,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    StopOutcome,
+)
+from .runs import RunState
+from .tenure import Tenure
+from .worker_calls import WorkerCalls
+
+# The lease of what runs on a worker: the longest that the platform grants, so
+# that work outlives cuts of several seconds.
+LEASE_S = 10.0
+# Part of the time for which a listing waits for an end; also how often the lease
+# is extended and checkpoints are read.
+LOOK_S = 1.2
+PAUSE_S = 0.2
+# Ends that are not stored yet are not acknowledged; the listing goes on.
+SETTLE_S = 0.4
+# Copies of a start without an answer; the last failure is followed by a stop.
+START_TRIES = 3
+
+
+class Session:
+    """Lists, extends and acknowledges what runs on a worker; sends its orders.
+
+    :param on_change: called after the planner's state has changed
+    """
+
+    def __init__(
+        self,
+        name: str,
+        planner: Planner,
+        journal: Journal,
+        tenure: Tenure,
+        calls: WorkerCalls,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._name = name
+        self._planner = planner
+        self._journal = journal
+        self._token = tenure.token
+        self._calls = calls
+        self._on_change = on_change
+        self._acknowledged = 0
+        self._lost = False
+        self._looked = False
+
+    @property
+    def lost(self) -> bool:
+        """Whether the last look at the worker failed."""
+        return self._lost
+
+    async def run(self) -> None:
+        """Look at the worker until its incarnation is gone.
+
+        :raises WorkerFenced: if a later planner has called the worker
+        """
+        wait_s = 0.0
+        while self._name in self._planner.workers:
+            sent_at = time.monotonic()
+            try:
+                report = await self._look(sent_at, wait_s)
+            except WorkerGone:
+                self._planner.worker_gone(
+                    self._name, now=time.monotonic(), unix_s=time.time()
+                )
+                self._on_change()
+                return
+            except WorkerUnreachable as error:
+                self._note_loss(error)
+                # A worker that has started again counts its ends anew.
+                self._acknowledged = 0
+                wait_s = 0.0
+                await asyncio.sleep(PAUSE_S)
+                continue
+            self._note_answer()
+            self._planner.report(
+                self._name,
+                report,
+                sent_at=sent_at,
+                now=time.monotonic(),
+                unix_s=time.time(),
+            )
+            self._on_change()
+            wait_s = LOOK_S
+            if report.ended and not await self._acknowledge(report):
+                wait_s = 0.0
+                await asyncio.sleep(PAUSE_S)
+
+    async def send(self, order: Order) -> None:
+        """Send an order until it is answered or no longer wanted.
+
+        :raises WorkerFenced: if a later planner has called the worker
+        """
+        if isinstance(order, StartOrder):
+            await self._send_start(order)
+        else:
+            await self._send_stop(order)
+        self._on_change()
+
+    async def _look(self, sent_at: float, wait_s: float) -> HoldReport:
+        worker = self._planner.workers[self._name]
+        limit = min(sent_at + LEASE_S, self._journal.lease_limit)
+        lease = None
+        if self._looked and limit > sent_at:
+            lease = worker.lease_deadline(limit, sent_at)
+        report = await self._calls.hold(
+            worker.entry,
+            token=self._token,
+            acknowledged=self._acknowledged,
+            lease_until_s=lease,
+            wait_s=wait_s,
+        )
+        self._looked = True
+        return report
+
+    async def _acknowledge(self, report: HoldReport) -> bool:
+        """Return whether the ends may be acknowledged by the next look."""
+        if not await self._journal.settle(SETTLE_S):
+            return False
+        self._acknowledged = max(ended.sequence for ended in report.ended)
+        return True
+
+    async def _send_start(self, order: StartOrder) -> None:
+        certain = True
+        outcome = StartOutcome.UNKNOWN
+        for _ in range(START_TRIES):
+            worker = self._planner.workers.get(self._name)
+            run = worker.runs.get((order.task, order.run)) if worker else None
+            if worker is None or run is None or run.state is not RunState.ORDERED:
+                return
+            now = time.monotonic()
+            limit = min(now + LEASE_S, self._journal.lease_limit)
+            outcome = await self._calls.start(
+                worker.entry,
+                order,
+                token=self._token,
+                lease_until_s=worker.lease_deadline(limit, now),
+            )
+            if outcome is StartOutcome.FENCED:
+                raise WorkerFenced(self._name)
+            if outcome is not StartOutcome.UNKNOWN:
+                break
+            certain = False
+        now = time.monotonic()
+        if outcome is StartOutcome.GONE:
+            self._planner.worker_gone(self._name, now=now, unix_s=time.time())
+            return
+        self._planner.start_answered(
+            order, outcome, certain=certain, now=now, unix_s=time.time()
+        )
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        while True:
+            worker = self._planner.workers.get(self._name)
+            if worker is None or (order.task, order.run) not in worker.runs:
+                return
+            outcome = await self._calls.stop(worker.entry, order, token=self._token)
+            now = time.monotonic()
+            if outcome is StopOutcome.FENCED:
+                raise WorkerFenced(self._name)
+            if outcome is StopOutcome.GONE:
+                self._planner.worker_gone(self._name, now=now, unix_s=time.time())
+                return
+            if outcome is StopOutcome.STOPPED:
+                self._planner.stop_answered(order, outcome, now=now)
+                return
+            await asyncio.sleep(PAUSE_S)
+
+    def _note_loss(self, error: WorkerUnreachable) -> None:
+        if not self._lost:
+            self._lost = True
+            log(events.DEPENDENCY_LOST, dependency=f"worker {self._name}", error=error)
+
+    def _note_answer(self) -> None:
+        if self._lost:
+            self._lost = False
+            log(events.DEPENDENCY_REGAINED, dependency=f"worker {self._name}")
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/tenure.py
@@ -0,0 +1,152 @@
+"""The planner's lease: one row that its holder renews.
+
+The store's version at the acquisition is the fencing token: it rises with every
+transaction, so a later planner always has a higher one. Every transaction of the
+holder depends on the row's present revision, which shuts a former holder out.
+"""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+import msgspec
+from bilberryhitch_jobs import Expected, Row, Store, Write
+from bilberryhitch_jobs.errors import STORE_ERRORS, CommitConflict, HistoryLost
+from bilberryhitch_telemetry import events, log
+
+LEASE_TABLE = "planner"
+LEASE_KEY = "lease"
+RENEWAL_S = 0.5
+# Three renewals and one slow answer of the store.
+SILENCE_S = 2.0
+CALL_TIMEOUT_S = 0.8
+PAUSE_S = 0.2
+# Leases on workers end at most this long after the last renewal that the store
+# is known to have taken; a successor waits for them where it cannot ask.
+WORKER_LEASE_HORIZON_S = 12.0
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """Value of the lease's row.
+
+    :ivar holder: entry host and life of its process; empty after a release
+    :ivar token: fencing token; 0 until the first renewal
+    :ivar renewal: number of the renewal
+    :ivar doubtful: unregistered workers on which something may run
+    """
+
+    holder: str
+    token: int
+    renewal: int
+    doubtful: list[str] = []
+
+
+class Tenure(NamedTuple):
+    """A lease that has been acquired.
+
+    :param token: fencing token, also the store's version at the acquisition
+    :param renewed_at: steady time at which the former holder was last heard of
+    """
+
+    holder: str
+    token: int
+    renewed_at: float
+    doubtful: tuple[str, ...]
+
+
+class Campaign:
+    """Waits for the lease to be free and acquires it.
+
+    :param holder: unique name of this process's life
+    """
+
+    def __init__(self, store: Store, holder: str) -> None:
+        self._store = store
+        self._holder = holder
+        self._row: Row | None = None
+        self._revision = 0
+        self._changed_at = time.monotonic()
+
+    async def win(self) -> Tenure:
+        """Return when this process holds the lease."""
+        self._row, self._revision = None, 0
+        known = False
+        while True:
+            try:
+                if not known:
+                    await self._read()
+                    known = True
+                tenure = await self._try_once()
+                if tenure is not None:
+                    return tenure
+            except HistoryLost:
+                known = False
+            except STORE_ERRORS:
+                # Silence counts only while the store answers.
+                known = False
+                await asyncio.sleep(PAUSE_S)
+
+    async def _read(self) -> None:
+        snapshot = await self._store.read(LEASE_TABLE, timeout_s=CALL_TIMEOUT_S)
+        self._note(snapshot.rows[0] if snapshot.rows else None)
+        self._revision = snapshot.revision
+
+    async def _try_once(self) -> Tenure | None:
+        lease = decode_lease(self._row)
+        if self._row is not None and lease.holder == self._holder:
+            # An acquisition whose answer was lost.
+            return self._tenure(self._row.revision, lease)
+        if lease.holder:
+            changes = await self._store.watch(LEASE_TABLE, self._revision, SILENCE_S)
+            self._revision = max(self._revision, changes.revision)
+            rows = [row for row in changes.rows if row.key == LEASE_KEY]
+            if rows:
+                self._note(rows[-1])
+                return None
+        return await self._acquire(lease)
+
+    async def _acquire(self, former: LeaseRow) -> Tenure | None:
+        value = LeaseRow(self._holder, 0, 0, former.doubtful)
+        present = self._row.revision if self._row else 0
+        try:
+            revision = await self._store.commit(
+                (Expected(LEASE_TABLE, LEASE_KEY, present),),
+                (Write(LEASE_TABLE, LEASE_KEY, encode_lease(value)),),
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except CommitConflict as conflict:
+            self._note(conflict.rows[0] if conflict.rows else None)
+            return None
+        log(
+            events.PLANNER_LEASE_WON,
+            fencing_token=revision,
+            former=former.holder,
+            former_silent_s=round(time.monotonic() - self._changed_at, 3),
+        )
+        return self._tenure(revision, former)
+
+    def _tenure(self, token: int, former: LeaseRow) -> Tenure:
+        return Tenure(self._holder, token, self._changed_at, tuple(former.doubtful))
+
+    def _note(self, row: Row | None) -> None:
+        if row is not None and row.removed:
+            row = None
+        if (row and row.revision) != (self._row and self._row.revision):
+            self._changed_at = time.monotonic()
+        self._row = row
+
+
+def encode_lease(lease: LeaseRow) -> bytes:
+    """Return the row's value."""
+    return msgspec.json.encode(lease)
+
+
+def decode_lease(row: Row | None) -> LeaseRow:
+    """Read the row; an absent or unreadable one is held by nobody."""
+    if row is None:
+        return LeaseRow("", 0, 0)
+    try:
+        return msgspec.json.decode(row.value, type=LeaseRow)
+    except msgspec.DecodeError as error:
+        log(events.ROW_UNREADABLE, key=row.key, error=error)
+        return LeaseRow("", 0, 0)
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -0,0 +1,189 @@
+"""The planner's books on jobs: steps and the units that are placed.
+
+A unit is a gang or a single task. It has at most one set of runs with one run
+number at a time.
+"""
+
+from collections.abc import Iterator
+
+from bilberryhitch_jobs import (
+    FINISHED,
+    GANG,
+    JobProgress,
+    JobRequest,
+    JobState,
+    Queue,
+    Step,
+    TaskName,
+    UnitProgress,
+)
+
+from .runs import Run
+
+
+class Unit:
+    """A gang or a single task.
+
+    :ivar index: of the task in its step, or ``GANG``
+    :ivar runs: runs that may exist, by index of the task
+    :ivar adopted: its latest run is known although an earlier planner began it
+    :ivar retry_at: steady time before which it is not started again
+    :ivar waiting_since: steady time from which it could have run
+    """
+
+    __slots__ = (
+        "adopted",
+        "done",
+        "failed_runs",
+        "index",
+        "last_run",
+        "runs",
+        "retry_at",
+        "saved",
+        "step",
+        "waiting_since",
+    )
+
+    def __init__(self, step: "StepBook", index: int, progress: UnitProgress) -> None:
+        self.step = step
+        self.index = index
+        self.done = progress.done
+        self.last_run = progress.last_run
+        self.failed_runs = set(progress.failed_runs)
+        self.saved = progress.saved
+        self.runs: dict[int, Run] = {}
+        self.adopted = False
+        self.retry_at = 0.0
+        self.waiting_since = step.job.arrived_at
+
+    @property
+    def task_indexes(self) -> range:
+        """Indexes of its tasks."""
+        if self.index == GANG:
+            return range(self.step.step.count)
+        return range(self.index, self.index + 1)
+
+    def task(self, index: int) -> TaskName:
+        """Return the name of one of its tasks."""
+        return TaskName(
+            self.step.job.request.job, self.step.occurrence, self.step.index, index
+        )
+
+    @property
+    def attempts_left(self) -> int:
+        """Failed runs that it may still have."""
+        return self.step.job.queue.max_attempts - len(self.failed_runs)
+
+    @property
+    def progress(self) -> UnitProgress:
+        """What must outlive the planner."""
+        return UnitProgress(
+            self.done, self.last_run, tuple(sorted(self.failed_runs)), self.saved
+        )
+
+
+class StepBook:
+    """One occurrence of a step.
+
+    :ivar waiting: units that are neither done nor may be running, by index
+    :ivar undone: number of units that are not done
+    """
+
+    def __init__(self, job: "JobBook", occurrence: int, index: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.index = index
+        self.step: Step = job.request.steps[index]
+        indexes = [GANG] if self.step.gang else range(self.step.count)
+        known = job.initial.units
+        self.units = {
+            each: Unit(self, each, known.get((occurrence, index, each), UnitProgress()))
+            for each in indexes
+        }
+        self.waiting = {
+            each: unit for each, unit in self.units.items() if not unit.done
+        }
+        self.undone = len(self.waiting)
+
+    @property
+    def ready(self) -> bool:
+        """Whether all earlier steps of the occurrence are done."""
+        return all(
+            self.job.steps[self.occurrence, earlier].undone == 0
+            for earlier in self.step.after
+        )
+
+    def mark_done(self, unit: Unit) -> None:
+        """Count a unit as done, once."""
+        if unit.done:
+            return
+        unit.done = True
+        self.undone -= 1
+        self.waiting.pop(unit.index, None)
+
+
+class JobBook:
+    """An accepted job.
+
+    :ivar queue: its route as last configured
+    :ivar inherited: an earlier planner may have started its tasks
+    :ivar arrived_at: steady time of its acceptance, as far as it is known
+    """
+
+    def __init__(
+        self,
+        request: JobRequest,
+        progress: JobProgress,
+        *,
+        inherited: bool,
+        arrived_at: float,
+    ) -> None:
+        self.request = request
+        self.initial = progress
+        self.queue: Queue = request.queue
+        self.state = progress.state
+        self.finished_s = progress.finished_s
+        self.inherited = inherited
+        self.arrived_at = arrived_at
+        self.steps: dict[tuple[int, int], StepBook] = {}
+        if not self.finished:
+            for occurrence in range(request.occurrences):
+                for index in range(len(request.steps)):
+                    self.steps[occurrence, index] = StepBook(self, occurrence, index)
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing of it may start any more."""
+        return self.state in FINISHED
+
+    @property
+    def complete(self) -> bool:
+        """Whether every task is done."""
+        return all(step.undone == 0 for step in self.steps.values())
+
+    @property
+    def units(self) -> Iterator[Unit]:
+        """All its units."""
+        for step in self.steps.values():
+            yield from step.units.values()
+
+    @property
+    def begun(self) -> bool:
+        """Whether a task of it has ever been started."""
+        return self.state is not JobState.PENDING
+
+    def find_unit(self, task: TaskName) -> Unit | None:
+        """Return the unit of a task, or None if the job has no such task."""
+        step = self.steps.get((task.occurrence, task.step))
+        if step is None or not 0 <= task.index < step.step.count:
+            return None
+        return step.units[GANG if step.step.gang else task.index]
+
+    def progress(self) -> JobProgress:
+        """Return what must outlive the planner."""
+        touched = {
+            (unit.step.occurrence, unit.step.index, unit.index): unit.progress
+            for unit in self.units
+            if unit.last_run or unit.done
+        }
+        return JobProgress(self.state, self.request.account, touched, self.finished_s)
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -262,6 +262,107 @@
     "Report the logged error.",
 )
 
+SETTINGS_RELOADED = Event(
+    1102, "settings_reloaded", "INFO", "The settings file was read again."
+)
+DEPENDENCY_LOST = Event(
+    1201,
+    "dependency_lost",
+    "WARNING",
+    "A store, table or worker does not answer as it should.",
+    "See the error; calls are repeated until one succeeds.",
+)
+DEPENDENCY_REGAINED = Event(
+    1202, "dependency_regained", "INFO", "A lost dependency answers again."
+)
+LINES_DROPPED = Event(
+    1203,
+    "lines_dropped",
+    "WARNING",
+    "More lines were written than the limit allows; the rest were left out.",
+)
+WORKER_LISTED = Event(
+    3201, "worker_listed", "INFO", "A worker registered itself or changed its entry."
+)
+WORKER_UNLISTED = Event(
+    3202,
+    "worker_unlisted",
+    "INFO",
+    "A worker's registration is gone; its runs may go on until its lease lapses.",
+)
+WORKER_SYNCED = Event(
+    3203, "worker_synced", "INFO", "A worker listed its runs to this planner."
+)
+WORKER_GONE = Event(
+    3204,
+    "worker_gone",
+    "WARNING",
+    "A worker's incarnation has ended; its runs are released.",
+)
+WORKER_LAPSED = Event(
+    3205,
+    "worker_lapsed",
+    "WARNING",
+    "A worker's lease lapsed while it could not be reached; its runs are released.",
+    "Check the network between the planner's host and the worker.",
+)
+PLANNER_LEASE_WON = Event(
+    4201, "planner_lease_won", "INFO", "This host acquired the planner's lease."
+)
+PLANNER_STARTED = Event(4202, "planner_started", "INFO", "This host plans from now on.")
+PLANNER_ENDED = Event(4203, "planner_ended", "INFO", "This host no longer plans.")
+PLANNER_ISOLATED = Event(
+    4204,
+    "planner_isolated",
+    "WARNING",
+    "Most workers are out of this planner's reach; it gives its lease up.",
+    "Check the network of this host.",
+)
+PLANNER_RELEASE_FAILED = Event(
+    4205,
+    "planner_release_failed",
+    "WARNING",
+    "The lease could not be given up; another host takes it after its silence.",
+)
+JOBS_LOADED = Event(4206, "jobs_loaded", "INFO", "The planner has read all jobs.")
+UNIT_STARTED = Event(4211, "unit_started", "INFO", "A gang or a task was placed.")
+RUN_ENDED = Event(4212, "run_ended", "INFO", "A worker listed the end of a run.")
+RUN_ADOPTED = Event(
+    4213, "run_adopted", "INFO", "A worker runs what this planner has not ordered."
+)
+RUN_STALLED = Event(
+    4214, "run_stalled", "WARNING", "A run shows no progress and is stopped."
+)
+START_NOT_DONE = Event(
+    4215, "start_not_done", "WARNING", "A worker did not confirm a start."
+)
+UNITS_EVICTED = Event(
+    4216, "units_evicted", "INFO", "Work was stopped for a guaranteed job."
+)
+JOB_SUBMITTED = Event(5101, "job_submitted", "INFO", "A caller submitted a job.")
+JOB_CANCEL_ASKED = Event(
+    5102, "job_cancel_asked", "INFO", "A caller asked for a job's cancellation."
+)
+JOB_ENDED = Event(5103, "job_ended", "INFO", "A job has reached its final state.")
+STORE_CALL_FAILED = Event(
+    6101, "store_call_failed", "WARNING", "A store call for a caller failed."
+)
+STORE_HISTORY_LOST = Event(
+    6102,
+    "store_history_lost",
+    "WARNING",
+    "The store dropped the changes after the last one read; the table is read anew.",
+)
+ROW_UNREADABLE = Event(
+    6103, "row_unreadable", "WARNING", "A row cannot be read and is left out."
+)
+REQUEST_REFUSED = Event(
+    7103, "request_refused", "INFO", "A call was refused and has not run."
+)
+BAD_REQUEST = Event(
+    7104, "bad_request", "INFO", "A call breaks a rule of the interface."
+)
+
 
 def all_events() -> list[Event]:
     """Return every event of this module in order of its number."""
