--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,14 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := $(sort $(wildcard libs/*))
-SOURCES := $(wildcard libs/*/src)
+LIBS := $(sort $(wildcard libs/*)) platform
+SOURCES := $(wildcard libs/*/src) platform/src
 SEED ?= 1
 STEPS ?= 2000
 
 .PHONY: demo test lint format fuzz measure measure-control dist clean
 
-$(VENV)/.ready: requirements.txt $(wildcard libs/*/pyproject.toml)
+$(VENV)/.ready: requirements.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.txt
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(addprefix -e ,$(LIBS))
--- a/libs/jobs/src/bilberryhitch_jobs/acceptance.py
+++ b/libs/jobs/src/bilberryhitch_jobs/acceptance.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import Enum, auto
 
 import msgspec
@@ -77,12 +78,11 @@
         )
 
         async def attempt(timeout_s: float) -> Verdict:
-            try:
+            # A conflict means that the job is there already.
+            with suppress(CommitConflict):
                 await self._store.commit(
                     (Expected(JOBS, job, 0),), writes, timeout_s=timeout_s
                 )
-            except CommitConflict:
-                pass
             return Verdict.DONE
 
         verdict = await self._retry(attempt, deadline, CALL_TIMEOUT_S, job)
@@ -194,4 +194,3 @@
         reason=error.reason,
         certain=isinstance(error, StoreRefused),
     )
-
--- a/libs/jobs/src/bilberryhitch_jobs/desk.py
+++ b/libs/jobs/src/bilberryhitch_jobs/desk.py
@@ -142,9 +142,7 @@
 
     async def state(self, call: Admitted, deadline: float) -> Reply:
         """Tell a job's state."""
-        verdict, state = await self._acceptance.state(
-            call.rest, call.account, deadline
-        )
+        verdict, state = await self._acceptance.state(call.rest, call.account, deadline)
         return _reply(verdict, Outcome.STATE, call.rest)._replace(state=state)
 
     async def waiting(self, call: Admitted, deadline: float) -> Reply:
--- a/libs/jobs/src/bilberryhitch_jobs/progress.py
+++ b/libs/jobs/src/bilberryhitch_jobs/progress.py
@@ -6,7 +6,7 @@
 
 from .configuration import Queue
 from .errors import RowUnreadable
-from .records import Demand, JobRequest, JobState, Schedule, Step
+from .records import JobRequest, JobState, Schedule, Step
 
 # Index under which the record of a whole gang is kept.
 GANG = -1
@@ -55,7 +55,7 @@
     account: str
     spec: str
     accepted_s: float
-    schedule: tuple[int, float, float] | None
+    schedule: Schedule | None
     steps: list[Step]
 
 
@@ -109,7 +109,7 @@
             request.account,
             request.spec,
             request.accepted_s,
-            request.schedule and tuple(request.schedule),
+            request.schedule,
             list(request.steps),
         )
     )
@@ -124,8 +124,12 @@
         row = _request_decoder.decode(value)
     except msgspec.DecodeError as error:
         raise RowUnreadable(key, str(error)) from error
-    schedule = Schedule(*row.schedule) if row.schedule else None
-    steps = tuple(step._replace(demand=Demand(*step.demand)) for step in row.steps)
     return JobRequest(
-        row.job, row.queue, row.account, row.spec, steps, row.accepted_s, schedule
+        row.job,
+        row.queue,
+        row.account,
+        row.spec,
+        tuple(row.steps),
+        row.accepted_s,
+        row.schedule,
     )
--- a/libs/jobs/src/bilberryhitch_jobs/records.py
+++ b/libs/jobs/src/bilberryhitch_jobs/records.py
@@ -70,7 +70,7 @@
     :param fills: tasks take the processor time that others leave
     """
 
-    count: int
+    task_count: int
     demand: Demand
     estimate_s: float
     after: tuple[int, ...] = ()
@@ -133,9 +133,9 @@
 
 
 class TaskName(NamedTuple):
-    """A task of an occurrence of a step."""
+    """A task of an occurrence of a step; ``ordinal`` counts from 0 within it."""
 
     job: str
     occurrence: int
     step: int
-    index: int
+    ordinal: int
--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/guarantees.py
@@ -0,0 +1,64 @@
+"""What client accounts are guaranteed and what they hold of it."""
+
+from collections.abc import Iterable
+
+from bilberryhitch_jobs import Account
+
+from .runs import RunState
+from .units import Unit
+from .workers import Worker
+
+
+class Guarantees:
+    """Accelerators that urgent work of each account may claim.
+
+    Only work of priority 0 counts; what is being stopped does not.
+    """
+
+    def __init__(self) -> None:
+        self._guaranteed: dict[str, int] = {}
+        self._held: dict[str, int] = {}
+
+    def configure(self, accounts: Iterable[Account]) -> None:
+        """Take over the configured guarantees."""
+        self._guaranteed = {each.name: each.guaranteed_gpu for each in accounts}
+
+    def count(self, workers: Iterable[Worker]) -> None:
+        """Count anew what is held."""
+        self._held = {}
+        for worker in workers:
+            for run in worker.runs.values():
+                if run.unit is not None and run.state is not RunState.STOPPING:
+                    self._add(run.unit, run.demand.gpu)
+
+    def claim(self, unit: Unit) -> None:
+        """Count a unit that is about to be started."""
+        self._add(unit, unit_gpu(unit))
+
+    def covers(self, unit: Unit) -> bool:
+        """Return whether a unit that waits is within its account's guarantee."""
+        account = unit.step.job.request.account
+        wanted = self._held.get(account, 0) + unit_gpu(unit)
+        return wanted <= self._guaranteed.get(account, 0)
+
+    def allows_eviction(self, unit: Unit) -> bool:
+        """Return whether a unit uses what is guaranteed to nobody or to others."""
+        job = unit.step.job
+        if unit.step.step.lasting:
+            return False
+        if job.queue.priority > 0:
+            return True
+        account = job.request.account
+        rest = self._held.get(account, 0) - unit_gpu(unit)
+        return rest >= self._guaranteed.get(account, 0)
+
+    def _add(self, unit: Unit, gpu: int) -> None:
+        job = unit.step.job
+        if job.queue.priority == 0:
+            account = job.request.account
+            self._held[account] = self._held.get(account, 0) + gpu
+
+
+def unit_gpu(unit: Unit) -> int:
+    """Return the accelerators that a unit needs in all."""
+    return len(unit.task_indexes) * unit.step.step.demand.gpu
--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 import msgspec
 from bilberryhitch_jobs import (
@@ -104,10 +105,8 @@
             due = self._renewed_at + RENEWAL_S - time.monotonic()
             if not self._planner.dirty and not self._uncertain and due > 0:
                 self._changed.clear()
-                try:
+                with suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), due)
-                except TimeoutError:
-                    pass
             await self.write()
 
     async def settle(self, timeout_s: float) -> bool:
@@ -138,9 +137,7 @@
         names = self._take_dirty()
         writes = self._progress_writes(names)
         renew = (
-            holder is not None
-            or self._uncertain
-            or now - self._renewed_at >= RENEWAL_S
+            holder is not None or self._uncertain or now - self._renewed_at >= RENEWAL_S
         )
         if renew:
             writes.append(self._lease_write(holder, now))
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -127,11 +127,15 @@
             self.planner.configure(configuration)
 
     def _check_isolation(self, now: float) -> None:
-        listed = [name for name, worker in self.planner.workers.items() if worker.listed]
+        listed = [
+            name for name, worker in self.planner.workers.items() if worker.listed
+        ]
         lost = [
-            name for name in listed if name in self._sessions and self._sessions[name].lost
+            name
+            for name in listed
+            if name in self._sessions and self._sessions[name].lost
         ]
-        if len(lost) <= len(listed) * ISOLATION_SHARE or len(listed) < 2:
+        if len(lost) <= max(1, len(listed) * ISOLATION_SHARE):
             self._connected_at = max(self._connected_at, now)
         elif now - self._connected_at > ISOLATION_S:
             log(events.PLANNER_ISOLATED, lost=len(lost), workers=len(listed))
--- a/libs/planner/src/bilberryhitch_planner/placement.py
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -15,7 +15,7 @@
 def slots(free: Demand, step: Step, booked: int = 0) -> int:
     """Return how many tasks of a step fit into free capacity."""
     demand = step.demand
-    most = step.spread - booked if step.spread else step.count
+    most = step.spread - booked if step.spread else step.task_count
     if demand.cpu and not step.fills:
         most = min(most, free.cpu // demand.cpu)
     if demand.memory:
@@ -95,17 +95,19 @@
 
 
 def _could_hold(rack: Iterable[Worker], step: Step) -> bool:
-    return sum(total_slots(worker, step) for worker in rack) >= step.count
+    return sum(total_slots(worker, step) for worker in rack) >= step.task_count
 
 
 def _fill(workers: list[Worker], step: Step) -> tuple[int, list[Worker]] | None:
     """Return accelerators left over and a worker for each task, or None."""
     members: list[Worker] = []
     for worker in sorted(workers, key=_tightness):
-        members += [worker] * min(task_slots(worker, step), step.count - len(members))
-        if len(members) == step.count:
+        members += [worker] * min(
+            task_slots(worker, step), step.task_count - len(members)
+        )
+        if len(members) == step.task_count:
             left = sum(each.free.gpu for each in workers)
-            return left - step.count * step.demand.gpu, members
+            return left - step.task_count * step.demand.gpu, members
     return None
 
 
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -17,9 +17,10 @@
 )
 from bilberryhitch_telemetry import events, log
 
+from .guarantees import Guarantees
 from .ordering import job_order
 from .placement import place_gang, place_task, suits
-from .reclaim import Eviction, choose_eviction
+from .reclaim import KeptRoom, find_eviction
 from .reports import (
     EndedTask,
     EndKind,
@@ -43,6 +44,8 @@
 RETRY_S = 0.15
 # Room that frees by itself within this time costs no work.
 RECLAIM_AFTER_S = 0.4
+# A last attempt avoids workers whose last run failed for this long.
+SUSPECT_WAIT_S = 1.5
 # Data on another rack is fetched after this wait while half of the room is idle.
 AWAY_AFTER_S = 1.5
 IDLE_SHARE = 0.5
@@ -70,12 +73,11 @@
         self.dirty: set[str] = set()
         self._orders: list[Order] = []
         self._ready: dict[tuple[str, int, int], StepBook] = {}
-        self._kept: dict[str, Unit] = {}
+        self._kept = KeptRoom()
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
         self._queues: dict[str, Queue] = {}
-        self._guaranteed_gpu: dict[str, int] = {}
-        self._urgent_gpu: dict[str, int] = {}
+        self._guarantees = Guarantees()
 
     @property
     def inheritance_open(self) -> bool:
@@ -132,10 +134,7 @@
         for job in self.jobs.values():
             job.queue = queues.get(job.request.queue.name, job.queue)
         self._queues = queues
-        self._guaranteed_gpu = {
-            account.name: account.guaranteed_gpu
-            for account in configuration.accounts.values()
-        }
+        self._guarantees.configure(configuration.accounts.values())
 
     # What happens to workers.
 
@@ -294,7 +293,7 @@
         for worker in self.workers.values():
             if worker.usable(now):
                 usable.setdefault(worker.entry.service, []).append(worker)
-        self._urgent_gpu = self._count_urgent()
+        self._guarantees.count(self.workers.values())
         blocked = self.inheritance_open and now < self._inherited_until
         for step in self._steps_in_order(now):
             if step.job.request.due_s(step.occurrence) > unix_s:
@@ -339,30 +338,27 @@
                 blocked and step.job.inherited and not unit.adopted
             ):
                 continue
-            free = self._allowed(unit, workers)
-            if step.step.gang:
-                members = place_gang(unit, free)
-            else:
-                worker = place_task(unit, free, anywhere=anywhere)
-                members = {unit.index: worker} if worker else None
-            if members is None:
-                self._reclaim(unit, workers, now)
+            members = self._place(unit, workers, anywhere, now)
+            if members is not None:
+                self._start(unit, members, now)
+            elif not self._reclaim(unit, workers, now):
                 break
-            self._start(unit, members, now)
-
-    def _allowed(self, unit: Unit, workers: list[Worker]) -> list[Worker]:
-        """Leave out workers kept for others, and failing ones for a last attempt."""
-        careful = unit.attempts_left <= 1 and unit.failed_runs
-        return [
-            worker
-            for worker in workers
-            if self._kept.get(worker.entry.worker, unit) is unit
-            and not (worker.suspect and (careful or unit.step.step.gang))
-        ]
-
-    def _data_may_move(
-        self, step: StepBook, workers: list[Worker], now: float
-    ) -> bool:
+
+    def _place(
+        self, unit: Unit, workers: list[Worker], anywhere: bool, now: float
+    ) -> dict[int, Worker] | None:
+        """Choose workers, those whose last run failed only if there is no other."""
+        allowed = [worker for worker in workers if self._kept.allows(worker, unit)]
+        sound = [worker for worker in allowed if not worker.suspect(now)]
+        members = _choose(unit, sound, anywhere)
+        last_attempt = unit.attempts_left <= 1 and unit.failed_runs
+        if members is None and len(sound) < len(allowed):
+            if last_attempt and now - unit.waiting_since < SUSPECT_WAIT_S:
+                return None
+            members = _choose(unit, allowed, anywhere)
+        return members
+
+    def _data_may_move(self, step: StepBook, workers: list[Worker], now: float) -> bool:
         rack = step.step.data_rack
         if not rack or all(worker.entry.rack != rack for worker in workers):
             return True
@@ -376,8 +372,7 @@
         step, job = unit.step, unit.step.job
         unit.last_run += 1
         step.waiting.pop(unit.index, None)
-        for name in [name for name, kept in self._kept.items() if kept is unit]:
-            del self._kept[name]
+        self._kept.release(unit)
         demand = _booked_demand(step)
         for index, worker in members.items():
             name = worker.entry.worker
@@ -385,15 +380,10 @@
             unit.runs[index] = run
             worker.add_run(run)
             self._orders.append(
-                StartOrder(
-                    name, run.task, run.number, job.request.spec, unit.saved
-                )
+                StartOrder(name, run.task, run.number, job.request.spec, unit.saved)
             )
         job.state = JobState.RUNNING
-        if job.queue.priority == 0:
-            account = job.request.account
-            held = self._urgent_gpu.get(account, 0)
-            self._urgent_gpu[account] = held + _unit_gpu(unit)
+        self._guarantees.claim(unit)
         self.dirty.add(job.request.job)
         log(
             events.UNIT_STARTED,
@@ -405,34 +395,29 @@
             saved=unit.saved,
         )
 
-    def _reclaim(self, unit: Unit, workers: list[Worker], now: float) -> None:
-        """Stop others' work if the unit's account is below its guarantee."""
+    def _reclaim(self, unit: Unit, workers: list[Worker], now: float) -> bool:
+        """Stop others' work if the unit's account is below its guarantee.
+
+        :returns: whether room is being made for the unit
+        """
+        if self._kept.awaits_room(unit, now):
+            return True
+        self._kept.release(unit)
+        waited_s = now - unit.waiting_since
         if (
             unit.step.job.queue.priority != 0
-            or now - unit.waiting_since < RECLAIM_AFTER_S
-            or any(kept is unit for kept in self._kept.values())
-            or not self._within_guarantee(unit)
+            or waited_s < RECLAIM_AFTER_S
+            or not self._guarantees.covers(unit)
         ):
-            return
-        step = unit.step.step
-        candidates = [
-            worker for worker in workers if worker.entry.worker not in self._kept
-        ]
-        count = step.count if step.gang else 1
-        eviction: Eviction | None = None
-        if step.same_rack or step.data_rack:
-            racks: dict[str, list[Worker]] = {}
-            for worker in candidates:
-                racks.setdefault(worker.entry.rack, []).append(worker)
-            eviction = choose_eviction(
-                step, count, list(racks.values()), self._evictable, now
-            )
-        if eviction is None:
-            eviction = choose_eviction(step, count, [candidates], self._evictable, now)
+            return False
+        candidates = [each for each in workers if self._kept.allows(each, unit)]
+        eviction = find_eviction(
+            unit, candidates, self._guarantees.allows_eviction, now
+        )
         if eviction is None:
-            return
-        for name in eviction.workers:
-            self._kept[name] = unit
+            return False
+        self._kept.keep(eviction.workers, unit, now)
+        self._guarantees.claim(unit)
         for victim in eviction.units:
             for run in victim.runs.values():
                 self._order_stop(run)
@@ -442,37 +427,9 @@
             task=_text(unit.task(unit.task_indexes[0])),
             evicted=[_text(each.task(each.task_indexes[0])) for each in eviction.units],
             lost_core_s=round(eviction.cost, 1),
-            waited_s=round(now - unit.waiting_since, 3),
+            waited_s=round(waited_s, 3),
         )
-
-    def _evictable(self, unit: Unit) -> bool:
-        """Return whether a unit uses what is guaranteed to nobody or to others."""
-        job = unit.step.job
-        if unit.step.step.lasting:
-            return False
-        if job.queue.priority > 0:
-            return True
-        account = job.request.account
-        rest = self._urgent_gpu.get(account, 0) - _unit_gpu(unit)
-        return rest >= self._guaranteed_gpu.get(account, 0)
-
-    def _within_guarantee(self, unit: Unit) -> bool:
-        account = unit.step.job.request.account
-        wanted = self._urgent_gpu.get(account, 0) + _unit_gpu(unit)
-        return wanted <= self._guaranteed_gpu.get(account, 0)
-
-    def _count_urgent(self) -> dict[str, int]:
-        """Return accelerators held by urgent work, by account."""
-        held: dict[str, int] = {}
-        for worker in self.workers.values():
-            for run in worker.runs.values():
-                if run.unit is None or run.state is RunState.STOPPING:
-                    continue
-                job = run.unit.step.job
-                if job.queue.priority == 0:
-                    account = job.request.account
-                    held[account] = held.get(account, 0) + run.demand.gpu
-        return held
+        return True
 
     # Bookkeeping.
 
@@ -497,9 +454,7 @@
                     self._order_stop(run)
         for occurrence, index in job.steps:
             self._ready.pop((name, occurrence, index), None)
-        for worker, unit in list(self._kept.items()):
-            if unit.step.job is job:
-                del self._kept[worker]
+        self._kept.release_job(job)
 
     def _take_end(
         self, worker: Worker, ended: EndedTask, now: float, unix_s: float
@@ -547,8 +502,8 @@
         unit = run.unit
         if unit is None:
             return
-        if unit.runs.get(run.task.index) is run:
-            del unit.runs[run.task.index]
+        if unit.runs.get(run.task.ordinal) is run:
+            del unit.runs[run.task.ordinal]
         if not unit.step.job.finished:
             self._settle(unit, run.number, how, saved or run.saved, now, unix_s)
 
@@ -569,11 +524,7 @@
         if not job.begun:
             job.state = JobState.RUNNING
         if how is EndKind.DONE and not step.step.lasting:
-            step.mark_done(unit)
-            if job.complete:
-                self._finish(job, JobState.COMPLETED, unix_s)
-            elif not step.undone:
-                self._open_steps(job, now)
+            self._complete(unit, now, unix_s)
             return
         if saved and number == unit.last_run:
             unit.saved = saved
@@ -584,9 +535,21 @@
                 return
         for run in unit.runs.values():
             self._order_stop(run)
+        self._wait_again(unit, now)
+
+    def _complete(self, unit: Unit, now: float, unix_s: float) -> None:
+        step, job = unit.step, unit.step.job
+        step.mark_done(unit)
+        if job.complete:
+            self._finish(job, JobState.COMPLETED, unix_s)
+        elif not step.undone:
+            self._open_steps(job, now)
+
+    def _wait_again(self, unit: Unit, now: float) -> None:
+        """Queue a unit whose last run is gone."""
         if not unit.runs:
             unit.waiting_since = now
-            step.waiting[unit.index] = unit
+            unit.step.waiting[unit.index] = unit
 
     def _take_running(self, worker: Worker, running: RunningTask, now: float) -> None:
         run = worker.runs.get((running.task, running.run))
@@ -614,7 +577,7 @@
             and not unit.done
             and running.run >= unit.last_run
             and all(run.number == running.run for run in unit.runs.values())
-            and running.task.index not in unit.runs
+            and running.task.ordinal not in unit.runs
         )
         run = Run(
             running.task,
@@ -638,9 +601,10 @@
             self._order_stop(run)
             return run
         run.state = RunState.RUNNING
-        unit.runs[running.task.index] = run
+        unit.runs[running.task.ordinal] = run
         unit.last_run = running.run
-        unit.adopted = True
+        # A gang's unseen members may be on a worker that cannot be asked.
+        unit.adopted = len(unit.runs) == len(unit.task_indexes)
         unit.step.waiting.pop(unit.index, None)
         if not job.begun:
             job.state = JobState.RUNNING
@@ -690,9 +654,14 @@
     return demand._replace(cpu=0) if step.step.fills else demand
 
 
-def _unit_gpu(unit: Unit) -> int:
-    return len(unit.task_indexes) * unit.step.step.demand.gpu
+def _choose(
+    unit: Unit, workers: list[Worker], anywhere: bool
+) -> dict[int, Worker] | None:
+    if unit.step.step.gang:
+        return place_gang(unit, workers)
+    worker = place_task(unit, workers, anywhere=anywhere)
+    return {unit.index: worker} if worker else None
 
 
 def _text(task: TaskName) -> str:
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.ordinal}"
--- a/libs/planner/src/bilberryhitch_planner/reclaim.py
+++ b/libs/planner/src/bilberryhitch_planner/reclaim.py
@@ -7,11 +7,15 @@
 
 from .placement import slots, total_slots
 from .runs import Run, RunState
-from .units import Unit
+from .units import JobBook, Unit
 from .workers import Worker
 
 # An accelerator's work is worth this many cores in what a stop throws away.
 CORES_PER_GPU = 8
+# A stop takes less than a second; after this the room is given up.
+KEEP_S = 1.2
+# A run that saves its progress loses at most about this much.
+SAVE_PERIOD_S = 1.0
 
 
 class Eviction(NamedTuple):
@@ -27,6 +31,63 @@
     cost: float
 
 
+class KeptRoom:
+    """Workers whose room is being made for one unit."""
+
+    def __init__(self) -> None:
+        self._units: dict[str, Unit] = {}
+        self._until: dict[str, float] = {}
+
+    def keep(self, workers: tuple[str, ...], unit: Unit, now: float) -> None:
+        """Keep workers for a unit for a while."""
+        for name in workers:
+            self._units[name] = unit
+            self._until[name] = now + KEEP_S
+
+    def allows(self, worker: Worker, unit: Unit) -> bool:
+        """Return whether a unit may use a worker."""
+        return self._units.get(worker.entry.worker, unit) is unit
+
+    def awaits_room(self, unit: Unit, now: float) -> bool:
+        """Return whether room for the unit should still become free."""
+        return any(
+            now < self._until[name]
+            for name, kept in self._units.items()
+            if kept is unit
+        )
+
+    def release(self, unit: Unit) -> None:
+        """Give up what is kept for a unit."""
+        for name in [name for name, kept in self._units.items() if kept is unit]:
+            del self._units[name], self._until[name]
+
+    def release_job(self, job: JobBook) -> None:
+        """Give up what is kept for a job."""
+        for unit in list(self._units.values()):
+            if unit.step.job is job:
+                self.release(unit)
+
+
+def find_eviction(
+    unit: Unit,
+    workers: Sequence[Worker],
+    evictable: Callable[[Unit], bool],
+    now: float,
+) -> Eviction | None:
+    """Return the cheapest way to make room for a unit, in one rack if it needs one."""
+    step = unit.step.step
+    missing = len(unit.task_indexes)
+    if step.same_rack or step.data_rack:
+        racks: dict[str, list[Worker]] = {}
+        for worker in workers:
+            racks.setdefault(worker.entry.rack, []).append(worker)
+        groups = list(racks.values())
+        eviction = choose_eviction(step, missing, groups, evictable, now)
+        if eviction is not None:
+            return eviction
+    return choose_eviction(step, missing, [workers], evictable, now)
+
+
 def choose_eviction(
     step: Step,
     missing: int,
@@ -40,9 +101,7 @@
     :param evictable: whether a unit may be stopped
     """
     options = (_clear(step, missing, rack, evictable, now) for rack in racks)
-    return min(
-        filter(None, options), key=lambda eviction: eviction.cost, default=None
-    )
+    return min(filter(None, options), key=lambda eviction: eviction.cost, default=None)
 
 
 def lost_work(unit: Unit, now: float) -> float:
@@ -51,7 +110,7 @@
     cores = step.demand.cpu / 1000 + step.demand.gpu * CORES_PER_GPU
     elapsed = max((now - run.ordered_at for run in unit.runs.values()), default=0.0)
     if step.saves_progress:
-        elapsed = min(elapsed, 1.0)
+        elapsed = min(elapsed, SAVE_PERIOD_S)
     return cores * elapsed * len(unit.runs)
 
 
@@ -123,4 +182,3 @@
         and run.unit is not None
         and evictable(run.unit)
     )
-
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -60,7 +60,7 @@
     def task_indexes(self) -> range:
         """Indexes of its tasks."""
         if self.index == GANG:
-            return range(self.step.step.count)
+            return range(self.step.step.task_count)
         return range(self.index, self.index + 1)
 
     def task(self, index: int) -> TaskName:
@@ -94,7 +94,7 @@
         self.occurrence = occurrence
         self.index = index
         self.step: Step = job.request.steps[index]
-        indexes = [GANG] if self.step.gang else range(self.step.count)
+        indexes = [GANG] if self.step.gang else range(self.step.task_count)
         known = job.initial.units
         self.units = {
             each: Unit(self, each, known.get((occurrence, index, each), UnitProgress()))
@@ -175,9 +175,9 @@
     def find_unit(self, task: TaskName) -> Unit | None:
         """Return the unit of a task, or None if the job has no such task."""
         step = self.steps.get((task.occurrence, task.step))
-        if step is None or not 0 <= task.index < step.step.count:
+        if step is None or not 0 <= task.ordinal < step.step.task_count:
             return None
-        return step.units[GANG if step.step.gang else task.index]
+        return step.units[GANG if step.step.gang else task.ordinal]
 
     def progress(self) -> JobProgress:
         """Return what must outlive the planner."""
--- a/libs/planner/src/bilberryhitch_planner/worker_calls.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_calls.py
@@ -16,7 +16,12 @@
     """Calls to one worker at a time; times are in seconds."""
 
     async def start(
-        self, worker: WorkerEntry, order: StartOrder, *, token: int, lease_until_s: float
+        self,
+        worker: WorkerEntry,
+        order: StartOrder,
+        *,
+        token: int,
+        lease_until_s: float,
     ) -> StartOutcome:
         """Start a run under a lease that ends on the worker's clock."""
 
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -11,6 +11,8 @@
 LEASE_SLACK_S = 0.3
 # Failures in a row, of different runs, after which a worker gets nothing.
 QUARANTINE_FAILURES = 2
+# Disturbances that make a worker fail its runs last several seconds.
+SUSPECT_S = 4.0
 # First pause of a failing worker; doubled with each failure after it.
 QUARANTINE_S = 2.0
 QUARANTINE_MAX_S = 8.0
@@ -38,6 +40,7 @@
         self.last_end = 0
         self.born_ms = 0
         self.failures = 0
+        self.failed_at = now
         self._clock_offset = 0.0
 
     def usable(self, now: float) -> bool:
@@ -49,10 +52,9 @@
             and now >= self.paused_until
         )
 
-    @property
-    def suspect(self) -> bool:
-        """Whether its last run failed."""
-        return self.failures > 0
+    def suspect(self, now: float) -> bool:
+        """Return whether its last run failed a short time ago."""
+        return self.failures > 0 and now - self.failed_at < SUSPECT_S
 
     def update_entry(self, entry: WorkerEntry) -> None:
         """Take over a changed registration; capacity may change with it."""
@@ -87,6 +89,7 @@
     def note_failure(self, now: float) -> None:
         """Pause the worker if several runs in a row failed on it."""
         self.failures += 1
+        self.failed_at = now
         over = self.failures - QUARANTINE_FAILURES
         if over >= 0:
             pause = min(QUARANTINE_S * 2**over, QUARANTINE_MAX_S)
