Start a job only once the lease is known to have outlasted its acceptance

A transaction that depends on the lease's row now comes first; it costs one call of the store for each new job.

--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -55,6 +55,7 @@
     """The writing half of a planner's tenure.
 
     :param keep_s: how long finished jobs can be asked for
+    :param on_stored: called after each transaction
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         planner: Planner,
         *,
         keep_s: float,
+        on_stored: Callable[[], None] = lambda: None,
         unix: Callable[[], float] = time.time,
     ) -> None:
         now = time.monotonic()
@@ -71,6 +73,7 @@
         self._tenure = tenure
         self._planner = planner
         self._keep_s = keep_s
+        self._on_stored = on_stored
         self._unix = unix
         self._revision = tenure.token
         self._renewal = 0
@@ -91,9 +94,14 @@
         """Steady time beyond which no lease on a worker may be extended."""
         return self._confirmed_at + WORKER_LEASE_HORIZON_S
 
+    @property
+    def _pending(self) -> bool:
+        planner = self._planner
+        return bool(planner.dirty) or planner.unconfirmed or self._uncertain
+
     def notify(self) -> None:
         """Store changes of the planner soon."""
-        if self._planner.dirty:
+        if self._planner.dirty or self._planner.unconfirmed:
             self._changed.set()
 
     async def run(self) -> None:
@@ -103,7 +111,7 @@
         """
         while True:
             due = self._renewed_at + RENEWAL_S - time.monotonic()
-            if not self._planner.dirty and not self._uncertain and due > 0:
+            if not self._pending and due > 0:
                 self._changed.clear()
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), due)
@@ -165,6 +173,7 @@
             return
         finally:
             self._in_flight = False
+        self._planner.confirm(revision)
         if renew:
             self._revision = revision
             self._renewed_at = self._confirmed_at = now
@@ -177,6 +186,7 @@
         if self._failing:
             self._failing = False
             log(events.DEPENDENCY_REGAINED, dependency="store writes")
+        self._on_stored()
         async with self._advanced:
             self._stored = begun
             self._advanced.notify_all()
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -64,7 +64,10 @@
         )
         for name in tenure.doubtful:
             self.planner.add_doubtful(name)
-        self.journal = Journal(store, tenure, self.planner, keep_s=keep_s)
+        self._wake = asyncio.Event()
+        self.journal = Journal(
+            store, tenure, self.planner, keep_s=keep_s, on_stored=self._wake.set
+        )
         self._tenure = tenure
         self._calls = calls
         self._decode_worker = decode_worker
@@ -78,7 +81,6 @@
         self._cancelled: set[str] = set()
         self._sessions: dict[str, Session] = {}
         self._group: asyncio.TaskGroup | None = None
-        self._wake = asyncio.Event()
         self._connected_at = time.monotonic() + ISOLATION_GRACE_S
 
     async def run(self) -> None:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -76,9 +76,24 @@
         self._kept = KeptRoom()
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
+        self._confirmed_revision = inherited_revision
+        self._newest_revision = 0
         self._queues: dict[str, Queue] = {}
         self._guarantees = Guarantees()
 
+    @property
+    def unconfirmed(self) -> bool:
+        """Whether a job waits for proof that the lease outlasted its acceptance."""
+        return self._newest_revision > self._confirmed_revision
+
+    def confirm(self, revision: int) -> None:
+        """Note that the lease was held at a version of the store.
+
+        A later planner's lease is newer than that version, so it knows that jobs
+        up to it may have been started.
+        """
+        self._confirmed_revision = max(self._confirmed_revision, revision)
+
     @property
     def inheritance_open(self) -> bool:
         """Whether a worker may run something that this planner has not seen."""
@@ -102,6 +117,7 @@
         job = JobBook(
             request,
             progress,
+            revision=revision,
             inherited=revision <= self._inherited_revision,
             arrived_at=now - age if revision <= self._inherited_revision else now,
         )
@@ -116,6 +132,7 @@
             if not unit.done and unit.failed_runs and unit.attempts_left <= 0:
                 self._finish(job, JobState.FAILED, unix_s)
                 return
+        self._newest_revision = max(self._newest_revision, revision)
         self._open_steps(job, now)
 
     def cancel_job(self, name: str, *, unix_s: float) -> None:
@@ -296,7 +313,10 @@
         self._guarantees.count(self.workers.values())
         blocked = self.inheritance_open and now < self._inherited_until
         for step in self._steps_in_order(now):
-            if step.job.request.due_s(step.occurrence) > unix_s:
+            if (
+                step.job.revision > self._confirmed_revision
+                or step.job.request.due_s(step.occurrence) > unix_s
+            ):
                 continue
             self._place_step(step, usable, blocked, now)
         orders, self._orders = self._orders, []
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -126,6 +126,7 @@
     """An accepted job.
 
     :ivar queue: its route as last configured
+    :ivar revision: version of the store at its acceptance
     :ivar inherited: an earlier planner may have started its tasks
     :ivar arrived_at: steady time of its acceptance, as far as it is known
     """
@@ -135,6 +136,7 @@
         request: JobRequest,
         progress: JobProgress,
         *,
+        revision: int,
         inherited: bool,
         arrived_at: float,
     ) -> None:
@@ -143,6 +145,7 @@
         self.queue: Queue = request.queue
         self.state = progress.state
         self.finished_s = progress.finished_s
+        self.revision = revision
         self.inherited = inherited
         self.arrived_at = arrived_at
         self.steps: dict[tuple[int, int], StepBook] = {}
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -9,6 +9,8 @@
 CLOCK_DRIFT = 0.02
 # Covers timer granularity on both sides.
 LEASE_SLACK_S = 0.3
+# A look takes up to 1.2 s; a worker that misses one gets nothing new.
+SILENCE_S = 2.2
 # Failures in a row, of different runs, after which a worker gets nothing.
 QUARANTINE_FAILURES = 2
 # Disturbances that make a worker fail its runs last several seconds.
@@ -49,6 +51,7 @@
             self.listed
             and self.synced
             and not self.entry.draining
+            and now - self.answered_at < SILENCE_S
             and now >= self.paused_until
         )
 
--- /dev/null
+++ b/libs/planner/tests/test_planner.py
@@ -0,0 +1,474 @@
+"""The planner against a model of workers, without a network."""
+
+from bilberryhitch_jobs import (
+    GANG,
+    Account,
+    Configuration,
+    Demand,
+    JobProgress,
+    JobRequest,
+    JobState,
+    Limits,
+    Queue,
+    Schedule,
+    Step,
+    TaskName,
+    UnitProgress,
+)
+from bilberryhitch_planner import (
+    EndedTask,
+    EndKind,
+    HoldReport,
+    Planner,
+    RunningTask,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    StopOutcome,
+    WorkerEntry,
+)
+
+UNIX = 1_000_000.0
+CAPACITY = Demand(32_000, 64_000, 8)
+
+
+def queue(name="urgent", priority=0, attempts=2):
+    return Queue(
+        name, "h", f"/{name}/", "pool", 3.0, priority, attempts, 2.0, 1.0, False, None
+    )
+
+
+def step(count=1, gpu=1, **terms):
+    return Step(count, Demand(1_000, 1_000, gpu), 2.0, **terms)
+
+
+def configuration(guaranteed=0):
+    return Configuration(
+        1,
+        (queue(), queue("batch", 2)),
+        {},
+        {
+            "a": Account("a", frozenset({"k"}), guaranteed),
+            "b": Account("b", frozenset(), 0),
+        },
+        {},
+        Limits(),
+    )
+
+
+def request(job, *steps, route=None, account="a", schedule=None):
+    return JobRequest(job, route or queue(), account, "spec", steps, UNIX, schedule)
+
+
+def entry(name, rack="r1", **changes):
+    plain = WorkerEntry(
+        name, "pool", "ip:1", "dc", CAPACITY, frozenset({"a", rack}), rack
+    )
+    return plain._replace(**changes)
+
+
+class World:
+    """A planner with reported workers; ``now`` is moved by the test."""
+
+    def __init__(self, *workers, inherited=0, until=0.0, guaranteed=0):
+        self.now = 0.0
+        self.planner = Planner(inherited_revision=inherited, inherited_until=until)
+        self.planner.configure(configuration(guaranteed))
+        for each in workers:
+            self.planner.add_worker(each, now=self.now)
+
+    def add(self, job, progress=None, revision=100):
+        progress = progress or JobProgress(JobState.PENDING, job.account, {})
+        self.planner.confirm(revision)
+        self.planner.add_job(
+            job, progress, revision, now=self.now, unix_s=UNIX + self.now
+        )
+
+    def report(self, worker, running=(), ended=(), born=0):
+        self.planner.report(
+            worker,
+            HoldReport(self.now, born, tuple(running), tuple(ended)),
+            sent_at=self.now,
+            now=self.now,
+            unix_s=UNIX + self.now,
+        )
+        held = self.planner.workers.get(worker)
+        if held is not None:
+            held.lease_deadline(self.now + 10, self.now)
+
+    def report_all(self):
+        for name, worker in list(self.planner.workers.items()):
+            running = [
+                RunningTask(run.task, run.number, "", self.now)
+                for run in worker.runs.values()
+            ]
+            self.report(name, running)
+
+    def plan(self):
+        self.planner.tick(now=self.now, unix_s=UNIX + self.now)
+        return self.planner.plan(now=self.now, unix_s=UNIX + self.now)
+
+    def starts(self):
+        return [order for order in self.plan() if isinstance(order, StartOrder)]
+
+    def answer(self, order, outcome=StartOutcome.STARTED, certain=True):
+        self.planner.start_answered(
+            order, outcome, certain=certain, now=self.now, unix_s=UNIX + self.now
+        )
+
+    def state(self, job):
+        return self.planner.jobs[job].state
+
+
+def running(order, percent=10.0):
+    return RunningTask(order.task, order.run, "", percent)
+
+
+def ended(order, how=EndKind.DONE, sequence=1, saved=""):
+    return EndedTask(sequence, order.task, order.run, how, saved)
+
+
+def test_a_job_is_started_and_completed_by_its_ends():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(2), step(1, after=(0,))))
+    first = world.starts()
+    assert [order.task.step for order in first] == [0, 0]
+    for order in first:
+        world.answer(order)
+    world.report("w1", ended=[ended(first[0]), ended(first[1], sequence=2)])
+    (last,) = world.starts()
+    assert last.task == TaskName("j", 0, 1, 0)
+    world.report(
+        "w1",
+        ended=[ended(first[0]), ended(first[1], sequence=2), ended(last, sequence=3)],
+    )
+    assert world.state("j") is JobState.COMPLETED
+
+
+def test_nothing_starts_on_a_worker_that_has_not_listed_its_runs():
+    """Guards against a second run of what an earlier planner has started."""
+    world = World(entry("w1"))
+    world.add(request("j", step()))
+    assert world.starts() == []
+
+
+def test_an_inherited_task_waits_for_workers_that_cannot_be_asked():
+    """Guards against a second run of a task behind a cut after a takeover."""
+    world = World(entry("w1"), entry("w2"), inherited=200, until=12.0)
+    world.report("w1")
+    world.add(request("j", step()))
+    assert world.starts() == []
+    world.now = 12.5
+    world.report("w1")
+    assert len(world.starts()) == 1
+
+
+def test_a_new_job_does_not_wait_for_workers_that_cannot_be_asked():
+    world = World(entry("w1"), entry("w2"), inherited=50, until=12.0)
+    world.report("w1")
+    world.add(request("j", step()))
+    assert len(world.starts()) == 1
+
+
+def test_a_job_accepted_after_the_lease_was_last_confirmed_is_not_started():
+    """Guards against TWICE of hunt-f18c-23: a deposed planner still read the feed
+    and started a job that its successor took for new.
+    """
+    world = World(entry("w1"), inherited=50)
+    world.report("w1")
+    fresh = JobProgress(JobState.PENDING, "a", {})
+    job = request("j", step())
+    world.planner.add_job(job, fresh, 60, now=0.0, unix_s=UNIX)
+    assert world.planner.unconfirmed
+    assert world.starts() == []
+    world.planner.confirm(59)
+    assert world.starts() == []
+    world.planner.confirm(61)
+    assert not world.planner.unconfirmed
+    assert len(world.starts()) == 1
+
+
+def test_an_inherited_gang_waits_for_a_member_behind_a_cut():
+    """Guards against TWICE of 2026-12-04: the members that were seen had ended."""
+    world = World(entry("w1"), entry("w2"), inherited=200, until=12.0)
+    world.add(request("j", step(2, gpu=8, gang=True)))
+    seen = TaskName("j", 0, 0, 0)
+    world.report("w1", running=[RunningTask(seen, 1, "", 5.0)])
+    world.now = 1.0
+    world.report("w1", ended=[EndedTask(1, seen, 1, EndKind.BROKEN)])
+    world.report("w1")
+    world.planner.add_worker(entry("w3"), now=1.0)
+    world.report("w3")
+    assert world.starts() == []
+    world.now = 12.5
+    for name in ("w1", "w3"):
+        world.report(name)
+    assert {order.run for order in world.starts()} == {2}
+
+
+def test_an_inherited_gang_that_was_seen_whole_starts_again_at_once():
+    world = World(entry("w1"), entry("w2"), entry("w3"), inherited=200, until=12.0)
+    world.add(request("j", step(2, gpu=8, gang=True)))
+    for ordinal, name in enumerate(("w1", "w2")):
+        world.report(
+            name, running=[RunningTask(TaskName("j", 0, 0, ordinal), 1, "", 5.0)]
+        )
+    for ordinal, name in enumerate(("w1", "w2")):
+        world.report(
+            name, ended=[EndedTask(1, TaskName("j", 0, 0, ordinal), 1, EndKind.BROKEN)]
+        )
+    assert [order.run for order in world.starts()] == [2, 2]
+
+
+def test_a_run_that_may_exist_holds_its_room():
+    """Guards against LIMIT: an unanswered start may be carried out late."""
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(gpu=8)))
+    (order,) = world.starts()
+    world.answer(order, StartOutcome.UNKNOWN, certain=False)
+    world.add(request("k", step(gpu=8)))
+    world.now = 1.0
+    stops = world.plan()
+    assert [type(each) for each in stops] == [StopOrder]
+    world.report("w1")
+    assert world.starts() == []
+
+
+def test_a_stopped_run_frees_its_room_with_the_first_listing_without_it():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(gpu=8)))
+    (order,) = world.starts()
+    world.answer(order, StartOutcome.UNKNOWN, certain=False)
+    (stop,) = world.plan()
+    world.now = 0.5
+    world.planner.stop_answered(stop, StopOutcome.STOPPED, now=0.5)
+    world.now = 1.0
+    world.report("w1")
+    (again,) = world.starts()
+    assert again.run == 2
+
+
+def test_runs_of_an_unreachable_worker_are_released_after_its_lease():
+    world = World(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        world.report(name)
+    world.add(request("j", step(gpu=8)))
+    (order,) = world.starts()
+    world.answer(order)
+    world.now = 9.0
+    other = "w2" if order.worker == "w1" else "w1"
+    world.report(other)
+    assert world.starts() == []
+    world.now = 10.8
+    world.report(other)
+    (again,) = world.starts()
+    assert again.worker == other
+    assert again.run == 2
+
+
+def test_a_worker_born_again_has_lost_its_runs():
+    world = World(entry("w1"))
+    world.report("w1", born=1)
+    world.add(request("j", step()))
+    (order,) = world.starts()
+    world.answer(order)
+    world.now = 1.0
+    world.report("w1", born=2)
+    (again,) = world.starts()
+    assert again.run == 2
+
+
+def test_attempts_are_counted_once_over_a_takeover():
+    """Guards against BUDGET and a false failure: an end may be listed again."""
+    world = World(entry("w1"), inherited=200, until=0.0)
+    progress = JobProgress(
+        JobState.RUNNING, "a", {(0, 0, 0): UnitProgress(False, 1, (1,))}
+    )
+    world.add(request("j", step()), progress)
+    world.report("w1", ended=[EndedTask(7, TaskName("j", 0, 0, 0), 1, EndKind.FAILED)])
+    assert world.state("j") is JobState.RUNNING
+    world.now = 5.0
+    world.report("w1")
+    (order,) = world.starts()
+    assert order.run == 2
+    world.answer(order)
+    world.report("w1", ended=[ended(order, EndKind.FAILED, 8)])
+    assert world.state("j") is JobState.FAILED
+
+
+def test_a_failing_worker_is_used_for_a_gang_when_there_is_no_other():
+    """Guards against RECLAIM: one failure barred a worker from gangs for ever."""
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(gang=True), route=queue("batch", 2, attempts=5)))
+    (order,) = world.starts()
+    world.answer(order)
+    world.report("w1", ended=[ended(order, EndKind.FAILED)])
+    world.now = 2.0
+    world.report("w1")
+    assert len(world.starts()) == 1
+
+
+def test_a_worker_that_fails_everything_is_left_alone():
+    world = World(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        world.report(name)
+    world.add(request("j", step(), route=queue("batch", 2, attempts=9)))
+    used = []
+    for sequence in range(1, 4):
+        world.now += 0.2
+        (order,) = world.starts()
+        used.append(order.worker)
+        world.answer(order)
+        how = EndKind.FAILED if order.worker == used[0] else EndKind.STOPPED
+        world.report(order.worker, ended=[ended(order, how, sequence)])
+    assert used[1] == used[2] != used[0]
+
+
+def test_an_urgent_job_within_its_guarantee_evicts_batch_work():
+    """Guards against RECLAIM: the pool is full of borrowers."""
+    world = World(entry("w1"), guaranteed=8)
+    world.report("w1")
+    world.add(request("batch", step(gpu=8), route=queue("batch", 2), account="b"))
+    (batch,) = world.starts()
+    world.answer(batch)
+    world.add(request("urgent", step(gpu=8, gang=True)))
+    world.now = 0.6
+    world.report("w1", running=[running(batch)])
+    (stop,) = world.plan()
+    assert stop == StopOrder("w1", batch.task, 1)
+    world.add(request("late", step(gpu=1), account="b"))
+    world.now = 1.0
+    world.report("w1", ended=[ended(batch, EndKind.STOPPED)])
+    (order, *_) = world.starts()
+    assert order.task.job == "urgent"
+
+
+def test_an_urgent_job_beyond_its_guarantee_evicts_nothing():
+    world = World(entry("w1"), guaranteed=4)
+    world.report("w1")
+    world.add(request("batch", step(gpu=8), route=queue("batch", 2), account="b"))
+    (batch,) = world.starts()
+    world.answer(batch)
+    world.add(request("urgent", step(gpu=8, gang=True)))
+    world.now = 2.0
+    world.report("w1", running=[running(batch)])
+    assert world.plan() == []
+
+
+def test_room_that_did_not_come_free_is_sought_anew():
+    """Guards against RECLAIM: room was kept for ever on a worker that had left."""
+    world = World(entry("w1"), entry("w2"), guaranteed=8)
+    for name in ("w1", "w2"):
+        world.report(name)
+    for name in ("b1", "b2"):
+        world.add(request(name, step(gpu=8), route=queue("batch", 2), account="b"))
+    batch = world.starts()
+    for order in batch:
+        world.answer(order)
+    world.add(request("urgent", step(gpu=8, gang=True)))
+    world.now = 0.6
+    (stop,) = world.plan()
+    world.planner.add_worker(entry(stop.worker, draining=True), now=0.7)
+    world.now = 2.0
+    for order in batch:
+        world.report(order.worker, running=[running(order, 20.0)])
+    (other,) = world.plan()
+    assert other.worker != stop.worker
+
+
+def test_a_scheduled_job_does_not_start_before_its_time():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(), schedule=Schedule(2, UNIX + 5, 3.0)))
+    world.now = 4.9
+    world.report("w1")
+    assert world.starts() == []
+    world.now = 5.0
+    assert [order.task.occurrence for order in world.starts()] == [0]
+    world.now = 8.0
+    world.report_all()
+    assert [order.task.occurrence for order in world.starts()] == [1]
+
+
+def test_a_cancelled_job_is_stopped_and_stays_cancelled():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step()))
+    (order,) = world.starts()
+    world.answer(order)
+    world.planner.cancel_job("j", unix_s=UNIX)
+    assert world.plan() == [StopOrder("w1", order.task, 1)]
+    world.report("w1", ended=[ended(order)])
+    assert world.state("j") is JobState.CANCELLED
+
+
+def test_a_run_nobody_needs_is_stopped():
+    """Guards against UNASKED: a late order started a task of a cancelled job."""
+    world = World(entry("w1"))
+    task = TaskName("gone", 0, 0, 0)
+    world.report("w1", running=[RunningTask(task, 3, "", 1.0)])
+    assert world.plan() == [StopOrder("w1", task, 3)]
+
+
+def test_a_run_without_progress_is_stopped_and_starts_elsewhere():
+    world = World(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        world.report(name)
+    world.add(request("j", step()))
+    (order,) = world.starts()
+    world.answer(order)
+    for tenth in range(1, 40):
+        world.now = tenth / 10
+        world.report(order.worker, running=[running(order, 10.0)])
+    assert world.plan() == [StopOrder(order.worker, order.task, 1)]
+    world.report(order.worker, ended=[ended(order, EndKind.STOPPED, saved="7")])
+    world.report_all()
+    (again,) = world.starts()
+    assert again.worker != order.worker
+    assert again.saved == "7"
+
+
+def test_a_lasting_task_starts_again_however_it_ends():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(lasting=True)))
+    for sequence, how in enumerate([EndKind.DONE, EndKind.FAILED, EndKind.FAILED], 1):
+        (order,) = world.starts()
+        assert order.run == sequence
+        world.answer(order)
+        world.report("w1", ended=[ended(order, how, sequence)])
+        world.now += 9.0
+        world.report("w1")
+    assert world.state("j") is JobState.RUNNING
+
+
+def test_members_of_a_rack_bound_gang_share_a_rack():
+    workers = [entry(f"w{number}", f"r{number % 2}") for number in range(4)]
+    world = World(*workers)
+    for each in workers:
+        world.report(each.worker)
+    world.add(request("j", step(2, gpu=8, gang=True, same_rack=True)))
+    racks = {world.planner.workers[order.worker].entry.rack for order in world.starts()}
+    assert len(racks) == 1
+
+
+def test_tasks_spread_as_far_as_asked():
+    world = World(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        world.report(name)
+    world.add(request("j", step(4, spread=1)))
+    assert sorted(order.worker for order in world.starts()) == ["w1", "w2"]
+
+
+def test_progress_names_gangs_by_one_record():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step(2, gang=True)))
+    for order in world.starts():
+        world.answer(order)
+    progress = world.planner.jobs["j"].progress()
+    assert progress.units == {(0, 0, GANG): UnitProgress(False, 1)}
