--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,4 +10,4 @@
 for library in jobs planner model telemetry; do
     cp -R "libs/$library/src/." target/deps/
 done
-cp -R platform/src/. target/deps/
+cp -R platform/src/bilberryhitch_adapter target/deps/
--- a/libs/planner/src/bilberryhitch_planner/session.py
+++ b/libs/planner/src/bilberryhitch_planner/session.py
@@ -116,7 +116,9 @@
         worker = self._planner.workers[self._name]
         limit = min(sent_at + LEASE_S, self._journal.lease_limit)
         lease = None
-        if self._looked and limit > sent_at:
+        # An unanswered extension may still count: a worker that stays silent
+        # gets no further one, so that its lease can be known to have lapsed.
+        if self._looked and not self._lost and limit > sent_at:
             lease = worker.lease_deadline(limit, sent_at)
         report = await self._calls.hold(
             worker.entry,
