--- a/libs/jobs/src/bilberryhitch_jobs/records.py
+++ b/libs/jobs/src/bilberryhitch_jobs/records.py
@@ -87,6 +87,11 @@
     target_s: float = 0.0
     fills: bool = False
 
+    @property
+    def booked(self) -> Demand:
+        """What a task takes of its worker's capacity."""
+        return self.demand._replace(cpu=0) if self.fills else self.demand
+
 
 class Schedule(NamedTuple):
     """Times at which a job's steps run.
--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -68,7 +68,6 @@
         on_stored: Callable[[], None] = lambda: None,
         unix: Callable[[], float] = time.time,
     ) -> None:
-        now = time.monotonic()
         self._store = store
         self._tenure = tenure
         self._planner = planner
@@ -78,7 +77,7 @@
         self._revision = tenure.token
         self._renewal = 0
         self._renewed_at = float("-inf")
-        self._confirmed_at = now
+        self._confirmed_at = tenure.acquired_at
         self._uncertain = False
         self._failing = False
         self._begun = 0
--- a/libs/planner/src/bilberryhitch_planner/placement.py
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -14,9 +14,9 @@
 
 def slots(free: Demand, step: Step, booked: int = 0) -> int:
     """Return how many tasks of a step fit into free capacity."""
-    demand = step.demand
+    demand = step.booked
     most = step.spread - booked if step.spread else step.task_count
-    if demand.cpu and not step.fills:
+    if demand.cpu:
         most = min(most, free.cpu // demand.cpu)
     if demand.memory:
         most = min(most, free.memory // demand.memory)
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -393,7 +393,7 @@
         unit.last_run += 1
         step.waiting.pop(unit.index, None)
         self._kept.release(unit)
-        demand = _booked_demand(step)
+        demand = step.step.booked
         for index, worker in members.items():
             name = worker.entry.worker
             run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
@@ -501,7 +501,8 @@
         if job is None or unit is None or unit.done or job.finished:
             return
         unit.last_run = max(unit.last_run, ended.run)
-        if not unit.runs:
+        same_run = all(run.number == ended.run for run in unit.runs.values())
+        if same_run or ended.how is EndKind.FAILED:
             self._settle(unit, ended.run, ended.how, ended.saved, now, unix_s)
 
     def _run_ended(
@@ -554,7 +555,8 @@
                 self._finish(job, JobState.FAILED, unix_s)
                 return
         for run in unit.runs.values():
-            self._order_stop(run)
+            if run.number == number:
+                self._order_stop(run)
         self._wait_again(unit, now)
 
     def _complete(self, unit: Unit, now: float, unix_s: float) -> None:
@@ -589,7 +591,8 @@
         """Book a run that this planner has not ordered; stop it if unneeded."""
         job = self.jobs.get(running.task.job)
         unit = job.find_unit(running.task) if job else None
-        demand = _booked_demand(unit.step) if unit else Demand()
+        # What is stopped still takes its room; an unknown job's task may take all.
+        demand = job.demand_of(running.task) if job else None
         needed = (
             job is not None
             and not job.finished
@@ -602,7 +605,7 @@
         run = Run(
             running.task,
             running.run,
-            demand,
+            worker.entry.capacity if demand is None else demand,
             worker.entry.worker,
             unit if needed else None,
             now,
@@ -669,11 +672,6 @@
             self._order_stop(each)
 
 
-def _booked_demand(step: StepBook) -> Demand:
-    demand = step.step.demand
-    return demand._replace(cpu=0) if step.step.fills else demand
-
-
 def _choose(
     unit: Unit, workers: list[Worker], anywhere: bool
 ) -> dict[int, Worker] | None:
--- a/libs/planner/src/bilberryhitch_planner/tenure.py
+++ b/libs/planner/src/bilberryhitch_planner/tenure.py
@@ -45,11 +45,13 @@
     """A lease that has been acquired.
 
     :param token: fencing token, also the store's version at the acquisition
+    :param acquired_at: steady time at which the acquisition was sent
     :param renewed_at: steady time at which the former holder was last heard of
     """
 
     holder: str
     token: int
+    acquired_at: float
     renewed_at: float
     doubtful: tuple[str, ...]
 
@@ -65,7 +67,7 @@
         self._holder = holder
         self._row: Row | None = None
         self._revision = 0
-        self._changed_at = time.monotonic()
+        self._changed_at = self._tried_at = time.monotonic()
 
     async def win(self) -> Tenure:
         """Return when this process holds the lease."""
@@ -108,6 +110,7 @@
     async def _acquire(self, former: LeaseRow) -> Tenure | None:
         value = LeaseRow(self._holder, 0, 0, former.doubtful)
         present = self._row.revision if self._row else 0
+        self._tried_at = time.monotonic()
         try:
             revision = await self._store.commit(
                 (Expected(LEASE_TABLE, LEASE_KEY, present),),
@@ -126,7 +129,13 @@
         return self._tenure(revision, former)
 
     def _tenure(self, token: int, former: LeaseRow) -> Tenure:
-        return Tenure(self._holder, token, self._changed_at, tuple(former.doubtful))
+        return Tenure(
+            self._holder,
+            token,
+            self._tried_at,
+            self._changed_at,
+            tuple(former.doubtful),
+        )
 
     def _note(self, row: Row | None) -> None:
         if row is not None and row.removed:
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -9,6 +9,7 @@
 from bilberryhitch_jobs import (
     FINISHED,
     GANG,
+    Demand,
     JobProgress,
     JobRequest,
     JobState,
@@ -182,6 +183,12 @@
             return None
         return step.units[GANG if step.step.gang else task.ordinal]
 
+    def demand_of(self, task: TaskName) -> Demand | None:
+        """Return what a task takes, also of a job that has ended."""
+        if not 0 <= task.step < len(self.request.steps):
+            return None
+        return self.request.steps[task.step].booked
+
     def progress(self) -> JobProgress:
         """Return what must outlive the planner."""
         touched = {
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -472,3 +472,37 @@
         world.answer(order)
     progress = world.planner.jobs["j"].progress()
     assert progress.units == {(0, 0, GANG): UnitProgress(False, 1)}
+
+
+def test_what_is_being_stopped_of_an_ended_job_still_takes_its_room():
+    """Guards against LIMIT of hunt-d7e2-31: a planner that took over counted the
+    runs of a cancelled job as nothing.
+    """
+    world = World(entry("w1"), inherited=200)
+    world.add(
+        request("gone", step(gpu=8)), JobProgress(JobState.CANCELLED, "a", {}, UNIX)
+    )
+    world.report("w1", running=[RunningTask(TaskName("gone", 0, 0, 0), 1, "", 5.0)])
+    world.add(request("j", step()))
+    assert world.starts() == []
+
+
+def test_a_run_of_an_unknown_job_is_taken_to_fill_its_worker():
+    world = World(entry("w1"), inherited=200)
+    world.report("w1", running=[RunningTask(TaskName("gone", 0, 0, 0), 1, "", 5.0)])
+    world.add(request("j", step()))
+    assert world.starts() == []
+
+
+def test_a_failure_seen_after_another_member_of_the_gang_is_counted():
+    """Guards against BUDGET of grown mlac trouble-1: at a takeover one member was
+    adopted as running before the other's failure was listed.
+    """
+    world = World(entry("w1"), entry("w2"), inherited=200)
+    progress = JobProgress(
+        JobState.RUNNING, "a", {(0, 0, GANG): UnitProgress(False, 1, (1,))}
+    )
+    world.add(request("j", step(2, gpu=8, gang=True)), progress)
+    world.report("w1", running=[RunningTask(TaskName("j", 0, 0, 1), 2, "", 5.0)])
+    world.report("w2", ended=[EndedTask(1, TaskName("j", 0, 0, 0), 2, EndKind.FAILED)])
+    assert world.state("j") is JobState.FAILED
