--- a/libs/jobs/src/bilberryhitch_jobs/desk.py
+++ b/libs/jobs/src/bilberryhitch_jobs/desk.py
@@ -165,5 +165,5 @@
 
 
 def _not_run(reason: str, request_id: str) -> Reply:
-    log(events.REQUEST_REFUSED, request_id=request_id, reason=reason)
+    log(events.CALL_REFUSED, request_id=request_id, reason=reason)
     return Reply(Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_S)
--- a/libs/planner/src/bilberryhitch_planner/__init__.py
+++ b/libs/planner/src/bilberryhitch_planner/__init__.py
@@ -1,6 +1,12 @@
 """The planner of jobs: placement, leases, reclaim, takeover and its journal."""
 
-from .errors import Deposed, WorkerFenced, WorkerGone, WorkerUnreachable
+from .errors import (
+    Deposed,
+    MachinesUnknown,
+    WorkerFenced,
+    WorkerGone,
+    WorkerUnreachable,
+)
 from .lead import Candidate, Lead
 from .planner import Planner
 from .reports import (
@@ -25,6 +31,7 @@
     "EndedTask",
     "HoldReport",
     "Lead",
+    "MachinesUnknown",
     "Planner",
     "RunningTask",
     "StartOrder",
--- a/libs/planner/src/bilberryhitch_planner/errors.py
+++ b/libs/planner/src/bilberryhitch_planner/errors.py
@@ -53,3 +53,13 @@
         super().__init__(lost, workers)
         self.lost = lost
         self.workers = workers
+
+
+class MachinesUnknown(BilberryhitchError):
+    """The list of machines could not be read."""
+
+    code = "machines_unknown"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -49,6 +49,21 @@
 MOST_ENTRIES = 80
 PAUSE_S = 0.1
 SUMMARY_PERIOD_S = 0.5
+ROSTER_TABLE = "roster"
+ROSTER_KEY = "workers"
+
+
+async def read_roster(store: Store) -> tuple[str, ...]:
+    """Return the workers that an earlier planner may have given runs."""
+    snapshot = await store.read(ROSTER_TABLE, timeout_s=CALL_TIMEOUT_S)
+    if not snapshot.rows:
+        return ()
+    row = snapshot.rows[0]
+    try:
+        return tuple(msgspec.json.decode(row.value, type=list[str]))
+    except msgspec.DecodeError as error:
+        log(events.ROW_UNREADABLE, key=row.key, error=error)
+        return ()
 
 
 class Journal:
@@ -96,11 +111,16 @@
     @property
     def _pending(self) -> bool:
         planner = self._planner
-        return bool(planner.dirty) or planner.unconfirmed or self._uncertain
+        return (
+            bool(planner.dirty)
+            or planner.unconfirmed
+            or planner.unrostered
+            or self._uncertain
+        )
 
     def notify(self) -> None:
         """Store changes of the planner soon."""
-        if self._planner.dirty or self._planner.unconfirmed:
+        if self._pending:
             self._changed.set()
 
     async def run(self) -> None:
@@ -147,9 +167,10 @@
             holder is not None or self._uncertain or now - self._renewed_at >= RENEWAL_S
         )
         if renew:
-            writes.append(self._lease_write(holder, now))
+            writes.append(self._lease_write(holder))
         summary = self._summary_write(now)
-        writes += summary
+        roster = frozenset(self._planner.workers)
+        writes += summary + self._roster_write(roster)
         removals = self._removals() if renew else []
         self._begun += 1
         begun = self._begun
@@ -173,6 +194,7 @@
         finally:
             self._in_flight = False
         self._planner.confirm(revision)
+        self._planner.rostered = roster
         if renew:
             self._revision = revision
             self._renewed_at = self._confirmed_at = now
@@ -207,13 +229,12 @@
             if name in jobs
         ]
 
-    def _lease_write(self, holder: str | None, now: float) -> Write:
+    def _lease_write(self, holder: str | None) -> Write:
         self._renewal += 1
         lease = LeaseRow(
             self._tenure.holder if holder is None else holder,
             self._tenure.token,
             self._renewal,
-            list(self._planner.doubtful_workers(now)),
         )
         return Write(LEASE_TABLE, LEASE_KEY, encode_lease(lease))
 
@@ -225,6 +246,12 @@
             return []
         return [Write(SUMMARY, WAITING_KEY, value)]
 
+    def _roster_write(self, roster: frozenset[str]) -> list[Write]:
+        """Return the row that tells a successor which workers to ask."""
+        if roster == self._planner.rostered:
+            return []
+        return [Write(ROSTER_TABLE, ROSTER_KEY, msgspec.json.encode(sorted(roster)))]
+
     def _removals(self) -> list[Removal]:
         """Return rows of jobs that nobody asks for any more."""
         limit = self._unix() - self._keep_s
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from bilberryhitch_jobs import (
@@ -17,8 +17,8 @@
 from bilberryhitch_jobs.follower import Follower
 from bilberryhitch_telemetry import events, log
 
-from .errors import Deposed, Isolated, WorkerFenced
-from .journal import Journal
+from .errors import Deposed, Isolated, MachinesUnknown, WorkerFenced
+from .journal import Journal, read_roster
 from .planner import Planner
 from .reports import WorkerEntry
 from .session import Session
@@ -33,6 +33,10 @@
 # A planner that loses most of its workers for this long steps down.
 ISOLATION_S = 2.0
 ISOLATION_SHARE = 0.5
+# A worker that has not answered for this long is looked for in the list of
+# machines, this often; the list itself may be a second old.
+GONE_SILENCE_S = 1.8
+GONE_PERIOD_S = 0.5
 # A planned handover must leave most of the shutdown's time to open requests.
 RELEASE_S = 1.5
 # The least time after a takeover before the workers' silence is judged.
@@ -43,6 +47,8 @@
     """Everything that lives as long as one tenure.
 
     :param worker_table: table in which workers register themselves
+    :param list_machines: returns the workers whose machines are up; raises
+        ``MachinesUnknown``
     :param decode_worker: reads a registration; None for one that names no worker
     """
 
@@ -55,6 +61,7 @@
         worker_table: str,
         decode_worker: Callable[[Row], WorkerEntry | None],
         configuration: Callable[[], Configuration | None],
+        list_machines: Callable[[], Awaitable[frozenset[str]]],
         keep_s: float,
     ) -> None:
         horizon = WORKER_LEASE_HORIZON_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
@@ -62,16 +69,16 @@
             inherited_revision=tenure.token,
             inherited_until=tenure.renewed_at + horizon,
         )
-        for name in tenure.doubtful:
-            self.planner.add_doubtful(name)
         self._wake = asyncio.Event()
         self.journal = Journal(
             store, tenure, self.planner, keep_s=keep_s, on_stored=self._wake.set
         )
+        self._store = store
         self._tenure = tenure
         self._calls = calls
         self._decode_worker = decode_worker
         self._configuration = configuration
+        self._list_machines = list_machines
         self._version = -1
         self._jobs = Follower(store, JOBS, self._load_jobs, self._take_job_row)
         self._worker_rows = Follower(
@@ -91,17 +98,22 @@
         async with asyncio.TaskGroup() as group:
             self._group = group
             group.create_task(self.journal.run())
-            while not self.planner.jobs and self._jobs.heard_at < 0:
-                await self._first_read()
+            await self._inherit()
             group.create_task(self._jobs.run())
             group.create_task(self._worker_rows.run())
             group.create_task(self._plan())
+            group.create_task(self._look_for_gone())
 
-    async def _first_read(self) -> None:
-        try:
-            await self._jobs.advance()
-        except STORE_ERRORS as error:
-            log(events.DEPENDENCY_LOST, dependency="store table jobs", error=error)
+    async def _inherit(self) -> None:
+        """Read what the earlier planner left, as soon as the store answers."""
+        while True:
+            try:
+                for name in await read_roster(self._store):
+                    self.planner.add_doubtful(name)
+                await self._jobs.advance()
+                return
+            except STORE_ERRORS as error:
+                log(events.DEPENDENCY_LOST, dependency="store", error=error)
             await asyncio.sleep(TICK_S)
 
     async def _plan(self) -> None:
@@ -122,6 +134,37 @@
             self.journal.notify()
             self._check_isolation(now)
 
+    async def _look_for_gone(self) -> None:
+        """Ask the list of machines about workers that cannot be asked themselves.
+
+        A worker whose machine is no longer up has ended, and its work can run
+        elsewhere long before its lease has lapsed.
+        """
+        while True:
+            await asyncio.sleep(GONE_PERIOD_S)
+            silent = self._silent_workers(time.monotonic())
+            if not silent:
+                continue
+            try:
+                present = await self._list_machines()
+            except MachinesUnknown as error:
+                log(events.MACHINES_UNKNOWN, error=error, silent=len(silent))
+                continue
+            for name in silent:
+                if name not in present:
+                    now = time.monotonic()
+                    self.planner.worker_gone(name, now=now, unix_s=time.time())
+                    self._changed()
+
+    def _silent_workers(self, now: float) -> list[str]:
+        """Return workers that may run something and do not answer."""
+        return [
+            name
+            for name, worker in self.planner.workers.items()
+            if (worker.runs or not worker.synced)
+            and now - max(worker.answered_at, worker.known_at) > GONE_SILENCE_S
+        ]
+
     def _adopt_configuration(self) -> None:
         configuration = self._configuration()
         if configuration is not None and configuration.version != self._version:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -58,6 +58,8 @@
 
     :param inherited_revision: jobs stored up to this revision may have been
         started by an earlier planner
+    :ivar rostered: workers that a later planner will ask before it starts anew
+        what this one may have started
     :param inherited_until: steady time at which all leases that an earlier
         planner granted have lapsed
     """
@@ -71,6 +73,7 @@
         self.jobs: dict[str, JobBook] = {}
         self.workers: dict[str, Worker] = {}
         self.dirty: set[str] = set()
+        self.rostered: frozenset[str] = frozenset()
         self._orders: list[Order] = []
         self._ready: dict[tuple[str, int, int], StepBook] = {}
         self._kept = KeptRoom()
@@ -94,6 +97,11 @@
         """
         self._confirmed_revision = max(self._confirmed_revision, revision)
 
+    @property
+    def unrostered(self) -> bool:
+        """Whether a worker waits for being named to a later planner."""
+        return any(name not in self.rostered for name in self.workers)
+
     @property
     def inheritance_open(self) -> bool:
         """Whether a worker may run something that this planner has not seen."""
@@ -308,7 +316,7 @@
         """Place what can be placed and return the orders to send."""
         usable: dict[str, list[Worker]] = {}
         for worker in self.workers.values():
-            if worker.usable(now):
+            if worker.usable(now) and worker.entry.worker in self.rostered:
                 usable.setdefault(worker.entry.service, []).append(worker)
         self._guarantees.count(self.workers.values())
         blocked = self.inheritance_open and now < self._inherited_until
@@ -331,14 +339,6 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
-    def doubtful_workers(self, now: float) -> tuple[str, ...]:
-        """Return unregistered workers on which something may still run."""
-        return tuple(
-            name
-            for name, worker in self.workers.items()
-            if not worker.listed and worker.runs and now < worker.lease_until
-        )
-
     def _steps_in_order(self, now: float) -> list[StepBook]:
         steps = [step for step in self._ready.values() if step.waiting]
         return sorted(steps, key=lambda step: job_order(step, now))
--- a/libs/planner/src/bilberryhitch_planner/tenure.py
+++ b/libs/planner/src/bilberryhitch_planner/tenure.py
@@ -32,13 +32,11 @@
     :ivar holder: entry host and life of its process; empty after a release
     :ivar token: fencing token; 0 until the first renewal
     :ivar renewal: number of the renewal
-    :ivar doubtful: unregistered workers on which something may run
     """
 
     holder: str
     token: int
     renewal: int
-    doubtful: list[str] = []
 
 
 class Tenure(NamedTuple):
@@ -53,7 +51,6 @@
     token: int
     acquired_at: float
     renewed_at: float
-    doubtful: tuple[str, ...]
 
 
 class Campaign:
@@ -97,7 +94,7 @@
         lease = decode_lease(self._row)
         if self._row is not None and lease.holder == self._holder:
             # An acquisition whose answer was lost.
-            return self._tenure(self._row.revision, lease)
+            return self._tenure(self._row.revision)
         if lease.holder:
             changes = await self._store.watch(LEASE_TABLE, self._revision, SILENCE_S)
             self._revision = max(self._revision, changes.revision)
@@ -108,7 +105,7 @@
         return await self._acquire(lease)
 
     async def _acquire(self, former: LeaseRow) -> Tenure | None:
-        value = LeaseRow(self._holder, 0, 0, former.doubtful)
+        value = LeaseRow(self._holder, 0, 0)
         present = self._row.revision if self._row else 0
         self._tried_at = time.monotonic()
         try:
@@ -126,16 +123,10 @@
             former=former.holder,
             former_silent_s=round(time.monotonic() - self._changed_at, 3),
         )
-        return self._tenure(revision, former)
-
-    def _tenure(self, token: int, former: LeaseRow) -> Tenure:
-        return Tenure(
-            self._holder,
-            token,
-            self._tried_at,
-            self._changed_at,
-            tuple(former.doubtful),
-        )
+        return self._tenure(revision)
+
+    def _tenure(self, token: int) -> Tenure:
+        return Tenure(self._holder, token, self._tried_at, self._changed_at)
 
     def _note(self, row: Row | None) -> None:
         if row is not None and row.removed:
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -27,6 +27,7 @@
 
     :ivar synced: it has listed its runs to this planner
     :ivar listed: it is registered
+    :ivar known_at: steady time at which this planner heard of it
     :ivar lease_until: steady time after which nothing can run there
     """
 
@@ -38,6 +39,7 @@
         self.free = entry.capacity
         self.lease_until = now
         self.answered_at = now
+        self.known_at = now
         self.paused_until = 0.0
         self.last_end = 0
         self.born_ms = 0
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -105,6 +105,7 @@
             self.report(name, running)
 
     def plan(self):
+        self.planner.rostered = frozenset(self.planner.workers)
         self.planner.tick(now=self.now, unix_s=UNIX + self.now)
         return self.planner.plan(now=self.now, unix_s=UNIX + self.now)
 
@@ -506,3 +507,24 @@
     world.report("w1", running=[RunningTask(TaskName("j", 0, 0, 1), 2, "", 5.0)])
     world.report("w2", ended=[EndedTask(1, TaskName("j", 0, 0, 0), 2, EndKind.FAILED)])
     assert world.state("j") is JobState.FAILED
+
+
+def test_a_worker_known_to_the_earlier_planner_alone_is_waited_for():
+    """Guards against TWICE 13 of mix 493721912419 (mlac): the worker's entry had
+    lapsed behind a cut, and the earlier planner was cut off from the store.
+    """
+    world = World(entry("w1"), inherited=200, until=12.0)
+    world.planner.add_doubtful("w2")
+    world.report("w1")
+    world.add(request("j", step()))
+    assert world.starts() == []
+    world.planner.worker_gone("w2", now=0.0, unix_s=UNIX)
+    assert len(world.starts()) == 1
+
+
+def test_a_worker_is_used_only_after_a_later_planner_would_ask_it():
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step()))
+    assert world.planner.unrostered
+    assert world.planner.plan(now=0.0, unix_s=UNIX) == []
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -306,11 +306,17 @@
     "A worker's lease lapsed while it could not be reached; its runs are released.",
     "Check the network between the planner's host and the worker.",
 )
+MACHINES_UNKNOWN = Event(
+    3206,
+    "machines_unknown",
+    "WARNING",
+    "The list of machines could not be read; silent workers are waited for.",
+)
 PLANNER_LEASE_WON = Event(
-    4201, "planner_lease_won", "INFO", "This host acquired the planner's lease."
+    4221, "planner_lease_won", "INFO", "This host acquired the planner's lease."
 )
-PLANNER_STARTED = Event(4202, "planner_started", "INFO", "This host plans from now on.")
-PLANNER_ENDED = Event(4203, "planner_ended", "INFO", "This host no longer plans.")
+PLANNER_STARTED = Event(4222, "planner_started", "INFO", "This host plans from now on.")
+PLANNER_ENDED = Event(4223, "planner_ended", "INFO", "This host no longer plans.")
 PLANNER_ISOLATED = Event(
     4204,
     "planner_isolated",
@@ -356,8 +362,8 @@
 ROW_UNREADABLE = Event(
     6103, "row_unreadable", "WARNING", "A row cannot be read and is left out."
 )
-REQUEST_REFUSED = Event(
-    7103, "request_refused", "INFO", "A call was refused and has not run."
+CALL_REFUSED = Event(
+    7105, "call_refused", "INFO", "A call was refused and has not run."
 )
 BAD_REQUEST = Event(
     7104, "bad_request", "INFO", "A call breaks a rule of the interface."
