--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -40,6 +40,7 @@
 # A task that shows no progress for this long stands still: the slowest workers
 # seen still gain a percent within a second.
 STALL_S = 3.5
+ALL_DONE_PERCENT = 100
 # After an order that did not lead to a run.
 RETRY_S = 0.15
 # Room that frees by itself within this time costs no work.
@@ -655,6 +656,8 @@
             run.state is not RunState.RUNNING
             or unit is None
             or unit.step.step.lasting
+            # A gang's faster members wait for the others with their work done.
+            or run.percent >= ALL_DONE_PERCENT
             or now - run.advanced_at < STALL_S
             or now - worker.answered_at > 1.0
         ):
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -433,6 +433,24 @@
     assert again.saved == "7"
 
 
+def test_members_that_wait_for_slower_ones_are_not_taken_for_stalled():
+    """Calm grown day: uneven gangs on workers of unlike speed were stopped close to
+    their end, and four starts in a row threw away 20 workers' work.
+    """
+    world = World(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        world.report(name)
+    world.add(request("j", step(2, gpu=8, gang=True)))
+    fast, slow = world.starts()
+    for order in (fast, slow):
+        world.answer(order)
+    for second in range(1, 12):
+        world.now = float(second)
+        world.report(fast.worker, running=[running(fast, min(100, second * 20))])
+        world.report(slow.worker, running=[running(slow, second * 8)])
+        assert world.plan() == []
+
+
 def test_a_lasting_task_starts_again_however_it_ends():
     world = World(entry("w1"))
     world.report("w1")
