--- a/libs/app/src/bilberryhitch/arguments.py
+++ b/libs/app/src/bilberryhitch/arguments.py
@@ -130,6 +130,14 @@
         command = _command(commands, name, text, f"{name} ruwi.renders.0c5b")
         _add_api(command)
         command.add_argument("job", metavar="JOB")
+    trace = _command(
+        commands,
+        "trace",
+        "a request's way through the logs of all hosts",
+        "trace 5c0e7a21d94b36f8 --log host-1.log host-2.log",
+    )
+    trace.add_argument("request", metavar="ID")
+    trace.add_argument("--log", nargs="+", required=True, metavar="FILE")
     wait = _command(commands, "wait", "wait for a job", "wait ruwi.renders.0c5b")
     _add_api(wait)
     wait.add_argument("job", metavar="JOB")
--- a/libs/app/src/bilberryhitch/main.py
+++ b/libs/app/src/bilberryhitch/main.py
@@ -45,6 +45,10 @@
         from .check_command import check
 
         return check
+    if name == "trace":
+        from .trace_command import trace
+
+        return trace
     if name == "standin":
         from .standin_command import standin
 
--- /dev/null
+++ b/tests/adapter/test_decoding.py
@@ -0,0 +1,153 @@
+"""Documents of the platform, whole and broken."""
+
+import msgspec
+import pytest
+from bilberryhitch_adapter.decoding import (
+    decode_configuration,
+    decode_hold,
+    decode_job,
+    decode_worker,
+)
+from bilberryhitch_jobs import Demand, Row, Schedule, TaskName
+from bilberryhitch_model.errors import BadInput
+from bilberryhitch_planner import EndKind
+
+ENTRY = {
+    "backend": "pool",
+    "address": "10.0.0.9:8080",
+    "zone": "ruwi",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 8},
+    "labels": ["a", "r1-3"],
+}
+
+
+def row(document, key="i-1"):
+    value = document if isinstance(document, bytes) else msgspec.json.encode(document)
+    return Row("servers", key, value, 3)
+
+
+def test_a_worker_is_named_by_its_rows_key():
+    worker = decode_worker(row(ENTRY))
+    assert worker.worker == "i-1"
+    assert worker.rack == "r1-3"
+    assert worker.capacity == Demand(16000, 32768, 8)
+    assert not worker.draining
+
+
+def test_a_draining_worker_tells_its_remaining_time():
+    worker = decode_worker(row({**ENTRY, "state": "draining", "remaining-ms": 1500}))
+    assert worker.draining
+    assert worker.remaining_s == 1.5
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"\xff\x00",
+        [],
+        {},
+        {**ENTRY, "state": "resting"},
+        {**ENTRY, "capacity": {"cpu": "many"}},
+        {**ENTRY, "capacity": 7},
+        {**ENTRY, "address": "nowhere"},
+        {**ENTRY, "address": None},
+        {**ENTRY, "labels": "a"},
+        {name: value for name, value in ENTRY.items() if name != "backend"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_worker(document):
+    assert decode_worker(row(document)) is None
+
+
+def test_a_job_is_read_whole():
+    step = {
+        "count": 3,
+        "cpu": 500,
+        "mem-mb": 256,
+        "gpu": 1,
+        "estimate-ms": 900,
+        "gang": True,
+        "same-rack": True,
+        "requires": "a",
+        "affinity": "r1-1",
+        "anti-affinity": 2,
+        "saves-progress": True,
+    }
+    content = decode_job(
+        msgspec.json.encode(
+            {
+                "spec": "s",
+                "steps": [step, {"count": 1, "after": [0], "long-running": True}],
+                "repeat-count": 2,
+                "start-at-ms": 5000,
+                "interval-ms": 1500,
+            }
+        )
+    )
+    first, second = content.steps
+    assert first.demand == Demand(500, 256, 1)
+    assert (first.gang, first.same_rack, first.data_rack) == (True, True, "r1-1")
+    assert (first.required_label, first.spread, first.estimate_s) == ("a", 2, 0.9)
+    assert (second.after, second.lasting) == ((0,), True)
+    assert content.schedule == Schedule(2, 5.0, 1.5)
+
+
+@pytest.mark.parametrize(
+    ("document", "field"),
+    [
+        (b"{", "$"),
+        ([], "$"),
+        ({}, "steps"),
+        ({"steps": [3]}, "steps.0"),
+        ({"steps": [{"count": 0}]}, "steps.0.count"),
+        ({"steps": [{"count": 1, "after": [0]}]}, "steps.0.after"),
+        ({"steps": [{"count": 1, "cpu": -1}]}, "cpu"),
+        ({"steps": [{"count": 1, "gang": "yes"}]}, "gang"),
+        ({"spec": 7, "steps": [{"count": 1}]}, "spec"),
+        ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "spec"),
+        ({"steps": [{"count": 1_000_000}]}, "steps"),
+    ],
+)
+def test_a_broken_job_names_its_field(document, field):
+    body = document if isinstance(document, bytes) else msgspec.json.encode(document)
+    with pytest.raises(BadInput) as caught:
+        decode_job(body)
+    assert caught.value.field == field
+
+
+def test_a_listing_is_read_with_and_without_a_load():
+    report = decode_hold(
+        {
+            "clock-ms": 482113,
+            "born": 1700000000000,
+            "running": [["5c.0.1.17", 2, "00", 41], ["5c.0.1.18", 2, "", 7, 350]],
+            "finished": [[58, "5c.0.1.9", 1, "done", ""]],
+        }
+    )
+    assert report.clock_s == 482.113
+    assert [each.percent for each in report.running] == [41, 7]
+    assert report.ended[0].task == TaskName("5c", 0, 1, 9)
+    assert report.ended[0].how is EndKind.DONE
+
+
+def test_a_configuration_finds_the_longest_prefix():
+    route = {"host": "h", "backend": "pool", "priority": 0}
+    configuration = decode_configuration(
+        msgspec.json.encode(
+            {
+                "version": 3,
+                "routes": [
+                    {**route, "name": "short", "path-prefix": "/a/"},
+                    {**route, "name": "long", "path-prefix": "/a/b/"},
+                ],
+                "services": [{"name": "pool"}],
+                "tenants": [{"name": "t", "keys": ["k"], "guaranteed": {"gpu": 4}}],
+            }
+        )
+    )
+    assert configuration.find_queue("h", "/a/b/1").name == "long"
+    assert configuration.find_queue("h", "/a/1").name == "short"
+    assert configuration.find_queue("other", "/a/1") is None
+    assert configuration.accounts_by_key == {"k": "t"}
+    assert configuration.accounts["t"].guaranteed_gpu == 4
