--- a/libs/telemetry/src/bilberryhitch_telemetry/logs.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import time
 import traceback
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, TextIO
@@ -9,7 +10,7 @@
 import msgspec
 from loguru import logger
 
-from .events import LIBRARY_MESSAGE, Event, Level
+from .events import LIBRARY_MESSAGE, LINES_DROPPED, Event, Level
 
 if TYPE_CHECKING:
     from loguru import Message
@@ -18,6 +19,10 @@
 SECRET_WORDS = ("token", "authorization", "password", "secret", "credential")
 # Fencing tokens are plain counters and are needed to follow a takeover.
 PUBLIC_FIELDS = frozenset({"fencing_token", "highest_token"})
+# A takeover of 300 workers with 3,000 runs is written whole; a steady rate above
+# this would cost more processor time than the work it tells of.
+BURST_LINES = 4_000
+LINES_PER_S = 400
 # A longer value makes one line unreadable and can be sent by any caller.
 MAX_TEXT = 2_000
 
@@ -39,15 +44,52 @@
     target = stream if stream is not None else sys.stderr
     shared = _plain(common or {})
 
+    budget = LineBudget()
+
     def write(message: "Message") -> None:
-        target.write(_line(message.record, shared) + "\n")
-        target.flush()
+        dropped = budget.take(time.monotonic())
+        if dropped is None:
+            return
+        text = _line(message.record, shared) + "\n"
+        if dropped:
+            text = _dropped_line(message.record, shared, dropped) + "\n" + text
+        try:
+            target.write(text)
+            target.flush()
+        except BlockingIOError:
+            # The reader is behind: losing a line is better than waiting for it.
+            budget.lose()
 
     logger.remove()
     logger.add(write, level=level, format="{message}", catch=True)
     logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
 
 
+class LineBudget:
+    """Bounds how many lines are written; the rest is counted."""
+
+    def __init__(self) -> None:
+        self._left = float(BURST_LINES)
+        self._at = time.monotonic()
+        self._dropped = 0
+
+    def take(self, now: float) -> int | None:
+        """Return the lines dropped since the last one written, None to drop this."""
+        refill = max(0.0, now - self._at) * LINES_PER_S
+        self._left = min(float(BURST_LINES), self._left + refill)
+        self._at = now
+        if self._left < 1:
+            self._dropped += 1
+            return None
+        self._left -= 1
+        dropped, self._dropped = self._dropped, 0
+        return dropped
+
+    def lose(self) -> None:
+        """Count a line that could not be written."""
+        self._dropped += 1
+
+
 def log(event: Event, **fields: object) -> None:
     """Write one event with its fields.
 
@@ -70,6 +112,11 @@
     return msgspec.json.encode(line).decode()
 
 
+def _dropped_line(record: Any, shared: Mapping[str, Any], count: int) -> str:
+    fields = {"event": LINES_DROPPED, "fields": {"count": count}}
+    return _line({**record, "extra": fields}, shared)
+
+
 def _plain(fields: Mapping[str, object]) -> dict[str, Any]:
     return {name: _safe(name, value) for name, value in fields.items()}
 
--- a/libs/telemetry/tests/test_logs.py
+++ b/libs/telemetry/tests/test_logs.py
@@ -4,6 +4,7 @@
 
 import pytest
 from bilberryhitch_telemetry import events, log, start_logs
+from bilberryhitch_telemetry.logs import BURST_LINES, LineBudget
 
 
 @pytest.fixture
@@ -41,3 +42,12 @@
     # Guards against plain-text lines that break the log reader.
     logging.getLogger("asyncio").error("braces %s", "{0}")
     assert lines()[0]["message"] == "braces {0}"
+
+
+def test_the_number_of_lines_is_bounded_and_the_rest_counted():
+    """Guards against a flood of lines that takes the processor from the work."""
+    budget = LineBudget()
+    written = [budget.take(0.0) for _ in range(BURST_LINES + 50)]
+    assert written.count(None) >= 49
+    assert budget.take(1e9) >= 49
+    assert budget.take(1e9) == 0
