--- a/libs/jobs/src/bilberryhitch_jobs/desk.py
+++ b/libs/jobs/src/bilberryhitch_jobs/desk.py
@@ -14,8 +14,12 @@
 # Without contact for this long the store is taken to be out of reach: the
 # configuration's feed answers at least once a second.
 STORE_SILENCE_S = 2.0
-# Outages last seconds; a caller that returns sooner is refused again.
+# A short disturbance is over within a second, and another host may answer then.
 RETRY_AFTER_S = 1
+# An outage that has lasted this long goes on for seconds: callers that give up after
+# a few attempts must not spend them all within it.
+LONG_SILENCE_S = 1.2
+LONG_RETRY_AFTER_S = 2
 
 
 class Outcome(Enum):
@@ -97,7 +101,7 @@
         """Find the queue of a call and the account of its caller."""
         configuration = self._configuration()
         if configuration is None:
-            return _not_run("no_configuration", path)
+            return self._not_run("no_configuration", path)
         queue = configuration.find_queue(host, path)
         if queue is None:
             return Reply(Outcome.NO_QUEUE)
@@ -120,7 +124,7 @@
     ) -> Reply:
         """Accept a job."""
         if not self.store_reachable:
-            return _not_run("store_unreachable", call.rest)
+            return self._not_run("store_unreachable", call.rest)
         request = JobRequest(
             call.rest,
             call.queue,
@@ -131,39 +135,47 @@
             content.schedule,
         )
         verdict = await self._acceptance.accept(request, deadline)
-        return _reply(verdict, Outcome.ACCEPTED, call.rest)
+        return self._reply(verdict, Outcome.ACCEPTED, call.rest)
 
     async def cancel(self, call: Admitted, deadline: float) -> Reply:
         """Cancel a job."""
         if not self.store_reachable:
-            return _not_run("store_unreachable", call.rest)
+            return self._not_run("store_unreachable", call.rest)
         verdict = await self._acceptance.cancel(call.rest, call.account, deadline)
-        return _reply(verdict, Outcome.CANCELLED, call.rest)
+        return self._reply(verdict, Outcome.CANCELLED, call.rest)
 
     async def state(self, call: Admitted, deadline: float) -> Reply:
         """Tell a job's state."""
         verdict, state = await self._acceptance.state(call.rest, call.account, deadline)
-        return _reply(verdict, Outcome.STATE, call.rest)._replace(state=state)
+        return self._reply(verdict, Outcome.STATE, call.rest)._replace(state=state)
 
     async def waiting(self, call: Admitted, deadline: float) -> Reply:
         """Tell how many jobs of a queue have not begun."""
         count = await self._acceptance.waiting(call.queue.name, deadline)
         if count is None:
-            return _not_run("store_unreachable", call.queue.name)
+            return self._not_run("store_unreachable", call.queue.name)
         return Reply(Outcome.WAITING, waiting=count)
 
-
-def _reply(verdict: Verdict, done: Outcome, request_id: str) -> Reply:
-    if verdict is Verdict.REFUSED:
-        return _not_run("store_refused", request_id)
-    outcomes = {
-        Verdict.DONE: done,
-        Verdict.ABSENT: Outcome.NO_JOB,
-        Verdict.UNKNOWN: Outcome.UNKNOWN,
-    }
-    return Reply(outcomes[verdict])
-
-
-def _not_run(reason: str, request_id: str) -> Reply:
-    log(events.CALL_REFUSED, request_id=request_id, reason=reason)
-    return Reply(Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_S)
+    def _reply(self, verdict: Verdict, done: Outcome, request_id: str) -> Reply:
+        if verdict is Verdict.REFUSED:
+            return self._not_run("store_refused", request_id)
+        outcomes = {
+            Verdict.DONE: done,
+            Verdict.ABSENT: Outcome.NO_JOB,
+            Verdict.UNKNOWN: Outcome.UNKNOWN,
+        }
+        return Reply(outcomes[verdict])
+
+    def _not_run(self, reason: str, request_id: str) -> Reply:
+        silence_s = time.monotonic() - self._store_heard_at()
+        retry_after_s = RETRY_AFTER_S
+        if silence_s > LONG_SILENCE_S:
+            retry_after_s = LONG_RETRY_AFTER_S
+        log(
+            events.CALL_REFUSED,
+            request_id=request_id,
+            reason=reason,
+            store_silent_s=round(min(silence_s, 1e6), 3),
+            retry_after_s=retry_after_s,
+        )
+        return Reply(Outcome.NOT_RUN, retry_after_s=retry_after_s)
--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -48,6 +48,8 @@
 # Entries of one transaction, below the platform's limit of 100.
 MOST_ENTRIES = 80
 PAUSE_S = 0.1
+# Shorter waits are not worth a turn of the event loop.
+CLOCK_STEP_S = 0.001
 SUMMARY_PERIOD_S = 0.5
 ROSTER_TABLE = "roster"
 ROSTER_KEY = "workers"
@@ -129,8 +131,9 @@
         :raises Deposed: if another host has the lease
         """
         while True:
-            due = self._renewed_at + RENEWAL_S - time.monotonic()
-            if not self._pending and due > 0:
+            now = time.monotonic()
+            if not self._pending and not self._renewal_due(now):
+                due = max(self._renewed_at + RENEWAL_S - now, CLOCK_STEP_S)
                 self._changed.clear()
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), due)
@@ -212,6 +215,9 @@
             self._stored = begun
             self._advanced.notify_all()
 
+    def _renewal_due(self, now: float) -> bool:
+        return now - self._renewed_at >= RENEWAL_S
+
     def _take_dirty(self) -> set[str]:
         dirty = self._planner.dirty
         if len(dirty) <= MOST_ENTRIES:
--- a/libs/planner/src/bilberryhitch_planner/ordering.py
+++ b/libs/planner/src/bilberryhitch_planner/ordering.py
@@ -2,10 +2,20 @@
 
 from .units import StepBook
 
+# Estimates of run times are rough: work counts as too late only when it would miss
+# its objective by more than this share of what is left of it.
+LATE_MARGIN = 0.3
+
 
 def job_order(step: StepBook, now: float) -> tuple[float, ...]:
-    """Return the sort key of a step's waiting units: urgent first, then oldest.
+    """Return the sort key of a step's waiting units.
+
+    Queues of lower priority number come first. Within a priority, work that can still
+    meet its objective goes before work that cannot, and the least slack first.
 
     :param now: steady clock in seconds
     """
-    return (step.job.queue.priority, step.job.arrived_at)
+    job = step.job
+    left_s = job.chain_s(step.index)
+    slack_s = job.objective_s - (now - job.arrived_at) - left_s
+    return (job.queue.priority, slack_s < -LATE_MARGIN * left_s, slack_s)
--- a/libs/planner/src/bilberryhitch_planner/placement.py
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -11,6 +11,28 @@
 from .units import Unit
 from .workers import Worker
 
+# Part of a pool's workers that is spared for urgent work.
+HEADROOM_SHARE = 1 / 8
+HEADROOM_IDLE_SHARE = 0.5
+
+
+def headroom(workers: Sequence[Worker]) -> frozenset[str]:
+    """Return idle workers that only urgent work may use.
+
+    Urgent gangs are short and have little slack; without room for them each arrival
+    in a full pool stops other work. While half of the pool is idle nothing is spared.
+    """
+    total = sum(worker.entry.capacity.gpu for worker in workers)
+    free = sum(worker.free.gpu for worker in workers)
+    if free >= total * HEADROOM_IDLE_SHARE:
+        return frozenset()
+    idle = [
+        worker.entry.worker
+        for worker in workers
+        if worker.entry.capacity.gpu and worker.free.gpu == worker.entry.capacity.gpu
+    ]
+    return frozenset(sorted(idle)[: int(len(workers) * HEADROOM_SHARE)])
+
 
 def slots(free: Demand, step: Step, booked: int = 0) -> int:
     """Return how many tasks of a step fit into free capacity."""
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -19,7 +19,7 @@
 
 from .guarantees import Guarantees
 from .ordering import job_order
-from .placement import place_gang, place_task, suits
+from .placement import headroom, place_gang, place_task, suits
 from .reclaim import KeptRoom, find_eviction
 from .reports import (
     EndedTask,
@@ -43,8 +43,9 @@
 ALL_DONE_PERCENT = 100
 # After an order that did not lead to a run.
 RETRY_S = 0.15
-# Room that frees by itself within this time costs no work.
-RECLAIM_AFTER_S = 0.4
+# The objective of an urgent job leaves about a second beside its own run time, of
+# which a stop takes up to 0.9 s; only what frees within a round is waited for.
+RECLAIM_AFTER_S = 0.05
 # A last attempt avoids workers whose last run failed for this long.
 SUSPECT_WAIT_S = 1.5
 # Data on another rack is fetched after this wait while half of the room is idle.
@@ -84,6 +85,7 @@
         self._newest_revision = 0
         self._queues: dict[str, Queue] = {}
         self._guarantees = Guarantees()
+        self._headroom: dict[str, frozenset[str]] = {}
 
     @property
     def unconfirmed(self) -> bool:
@@ -320,6 +322,9 @@
             if worker.usable(now) and worker.entry.worker in self.rostered:
                 usable.setdefault(worker.entry.service, []).append(worker)
         self._guarantees.count(self.workers.values())
+        self._headroom = {
+            service: headroom(workers) for service, workers in usable.items()
+        }
         blocked = self.inheritance_open and now < self._inherited_until
         for step in self._steps_in_order(now):
             if (
@@ -369,7 +374,14 @@
         self, unit: Unit, workers: list[Worker], anywhere: bool, now: float
     ) -> dict[int, Worker] | None:
         """Choose workers, those whose last run failed only if there is no other."""
-        allowed = [worker for worker in workers if self._kept.allows(worker, unit)]
+        job = unit.step.job
+        spared = self._headroom.get(job.queue.service, frozenset())
+        allowed = [
+            worker
+            for worker in workers
+            if self._kept.allows(worker, unit)
+            and (job.queue.priority == 0 or worker.entry.worker not in spared)
+        ]
         sound = [worker for worker in allowed if not worker.suspect(now)]
         members = _choose(unit, sound, anywhere)
         last_attempt = unit.attempts_left <= 1 and unit.failed_runs
--- a/libs/planner/src/bilberryhitch_planner/tenure.py
+++ b/libs/planner/src/bilberryhitch_planner/tenure.py
@@ -16,9 +16,9 @@
 
 LEASE_TABLE = "planner"
 LEASE_KEY = "lease"
-RENEWAL_S = 0.5
-# Three renewals and one slow answer of the store.
-SILENCE_S = 2.0
+RENEWAL_S = 0.4
+# Two renewals and one call that took all its time.
+SILENCE_S = 1.7
 CALL_TIMEOUT_S = 0.8
 PAUSE_S = 0.2
 # Leases on workers end at most this long after the last renewal that the store
@@ -56,7 +56,7 @@
 class Campaign:
     """Waits for the lease to be free and acquires it.
 
-    :param holder: unique name of this process's life
+    :param holder: unique name of this process's life: ``host/life``
     """
 
     def __init__(self, store: Store, holder: str) -> None:
@@ -95,7 +95,7 @@
         if self._row is not None and lease.holder == self._holder:
             # An acquisition whose answer was lost.
             return self._tenure(self._row.revision)
-        if lease.holder:
+        if lease.holder and _host(lease.holder) != _host(self._holder):
             changes = await self._store.watch(LEASE_TABLE, self._revision, SILENCE_S)
             self._revision = max(self._revision, changes.revision)
             rows = [row for row in changes.rows if row.key == LEASE_KEY]
@@ -136,6 +136,11 @@
         self._row = row
 
 
+def _host(holder: str) -> str:
+    """Return the entry host of a holder; an earlier life of a host is over."""
+    return holder.partition("/")[0]
+
+
 def encode_lease(lease: LeaseRow) -> bytes:
     """Return the row's value."""
     return msgspec.json.encode(lease)
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -149,12 +149,23 @@
         self.revision = revision
         self.inherited = inherited
         self.arrived_at = arrived_at
+        self._chains = _chains(request.steps)
         self.steps: dict[tuple[int, int], StepBook] = {}
         if not self.finished:
             for occurrence in range(request.occurrences):
                 for index in range(len(request.steps)):
                     self.steps[occurrence, index] = StepBook(self, occurrence, index)
 
+    @property
+    def objective_s(self) -> float:
+        """Time from its acceptance within which it should be completed."""
+        longest = max(self._chains, default=0.0)
+        return self.queue.stretch * longest + self.queue.target_s
+
+    def chain_s(self, index: int) -> float:
+        """Return the estimated time from a step's start to the job's end."""
+        return self._chains[index]
+
     @property
     def finished(self) -> bool:
         """Whether nothing of it may start any more."""
@@ -197,3 +208,13 @@
             if unit.last_run or unit.done
         }
         return JobProgress(self.state, self.request.account, touched, self.finished_s)
+
+
+def _chains(steps: tuple[Step, ...]) -> tuple[float, ...]:
+    """Return, for each step, the longest estimated chain that begins with it."""
+    chains = [step.estimate_s for step in steps]
+    for index in reversed(range(len(steps))):
+        for earlier in steps[index].after:
+            chained = steps[earlier].estimate_s + chains[index]
+            chains[earlier] = max(chains[earlier], chained)
+    return tuple(chains)
--- /dev/null
+++ b/libs/planner/tests/test_tenure.py
@@ -0,0 +1,161 @@
+"""The planner's lease over a store in memory."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from bilberryhitch_jobs import JobProgress, JobRequest, JobState, Queue, Snapshot
+from bilberryhitch_jobs.errors import CommitConflict, StoreUnknown
+from bilberryhitch_jobs.rows import Row
+from bilberryhitch_planner import Campaign, Deposed, Planner
+from bilberryhitch_planner.journal import Journal
+from bilberryhitch_planner.tenure import LEASE_KEY, LEASE_TABLE, SILENCE_S, decode_lease
+from bilberryhitch_testing import run_virtual
+
+
+@pytest.fixture(autouse=True)
+def loop_clock(monkeypatch):
+    """Let the code read the clock that the test's event loop owns."""
+    clock = SimpleNamespace(
+        monotonic=lambda: asyncio.get_running_loop().time(), time=lambda: 0.0
+    )
+    monkeypatch.setattr("bilberryhitch_planner.journal.time", clock)
+    monkeypatch.setattr("bilberryhitch_planner.tenure.time", clock)
+
+
+class MemoryStore:
+    """Rows with conditional transactions; answers may be lost."""
+
+    def __init__(self):
+        self.rows = {}
+        self.revision = 0
+        self.lose = 0
+
+    async def read(self, table, first="", last="", *, timeout_s):
+        rows = tuple(row for key, row in sorted(self.rows.items()) if key[0] == table)
+        return Snapshot(rows, self.revision)
+
+    async def watch(self, table, after, wait_s):
+        waited = 0.0
+        while True:
+            rows = [row for row in self.rows.values() if row.table == table]
+            changed = tuple(row for row in rows if row.revision > after)
+            if changed or waited >= wait_s:
+                return Snapshot(changed, self.revision)
+            await asyncio.sleep(0.05)
+            waited += 0.05
+
+    async def commit(self, expected, writes, removals=(), *, timeout_s):
+        for each in expected:
+            row = self.rows.get((each.table, each.key))
+            if (row.revision if row else 0) != each.revision:
+                raise CommitConflict((row,) if row else ())
+        self.revision += 1
+        for each in writes:
+            key = (each.table, each.key)
+            self.rows[key] = Row(each.table, each.key, each.value, self.revision)
+        if self.lose:
+            self.lose -= 1
+            raise StoreUnknown("commit", "lost")
+        return self.revision
+
+    def lease(self):
+        return decode_lease(self.rows.get((LEASE_TABLE, LEASE_KEY)))
+
+
+def journal(store, tenure):
+    planner = Planner(inherited_revision=tenure.token, inherited_until=0.0)
+    return planner, Journal(store, tenure, planner, keep_s=60.0)
+
+
+def test_a_silent_holder_is_replaced_and_shut_out():
+    async def scene():
+        store = MemoryStore()
+        first = await Campaign(store, "a/1").win()
+        _, old = journal(store, first)
+        await old.write()
+        second = await Campaign(store, "b/1").win()
+        assert second.token > first.token
+        with pytest.raises(Deposed):
+            await old.write()
+
+    run_virtual(scene())
+
+
+def test_a_holder_that_renews_is_left_alone():
+    async def scene():
+        store = MemoryStore()
+        tenure = await Campaign(store, "a/1").win()
+        _, held = journal(store, tenure)
+        running = asyncio.create_task(held.run())
+        rival = asyncio.create_task(Campaign(store, "b/1").win())
+        await asyncio.sleep(5 * SILENCE_S)
+        assert not rival.done()
+        assert store.lease().holder == "a/1"
+        for task in (running, rival):
+            task.cancel()
+        await asyncio.gather(running, rival, return_exceptions=True)
+
+    run_virtual(scene())
+
+
+def test_a_released_lease_is_taken_at_once():
+    async def scene():
+        store = MemoryStore()
+        tenure = await Campaign(store, "a/1").win()
+        _, held = journal(store, tenure)
+        await held.release()
+        async with asyncio.timeout(SILENCE_S / 2):
+            await Campaign(store, "b/1").win()
+
+    run_virtual(scene())
+
+
+def test_a_host_takes_the_lease_of_its_own_earlier_life_at_once():
+    """After a loss of power of all hosts nobody else would take it sooner."""
+
+    async def scene():
+        store = MemoryStore()
+        first = await Campaign(store, "a/1").win()
+        async with asyncio.timeout(SILENCE_S / 2):
+            second = await Campaign(store, "a/2").win()
+        assert second.token > first.token
+
+    run_virtual(scene())
+
+
+def test_an_acquisition_whose_answer_was_lost_is_found():
+    async def scene():
+        store = MemoryStore()
+        store.lose = 1
+        tenure = await Campaign(store, "a/1").win()
+        assert store.lease().holder == "a/1"
+        assert tenure.token == store.rows[LEASE_TABLE, LEASE_KEY].revision
+
+    run_virtual(scene())
+
+
+def test_a_lost_write_changes_the_lease_before_anything_else_is_written():
+    """Guards against LOST: an old copy of a progress row must not land late."""
+
+    async def scene():
+        store = MemoryStore()
+        tenure = await Campaign(store, "a/1").win()
+        planner, held = journal(store, tenure)
+        await held.write()
+        queue = Queue("q", "h", "/q/", "pool", 3.0, 0, 1, 1.0, 1.0, False, None)
+        request = JobRequest("j", queue, "a", "s", (), 0.0)
+        planner.add_job(
+            request, JobProgress(JobState.PENDING, "a", {}), 1, now=0.0, unix_s=0.0
+        )
+        planner.dirty.add("j")
+        before = store.rows[LEASE_TABLE, LEASE_KEY].revision
+        store.lose = 1
+        await held.write()
+        assert "j" in planner.dirty
+        await held.write()
+        await held.write()
+        assert store.rows[LEASE_TABLE, LEASE_KEY].revision > before
+        assert not planner.dirty
+
+    run_virtual(scene())
