--- a/libs/jobs/src/bilberryhitch_jobs/desk.py
+++ b/libs/jobs/src/bilberryhitch_jobs/desk.py
@@ -14,6 +14,8 @@
 # Without contact for this long the store is taken to be out of reach: the
 # configuration's feed answers at least once a second.
 STORE_SILENCE_S = 2.0
+# Sooner than that, new callers are sent elsewhere: it costs nobody anything.
+READY_SILENCE_S = 1.3
 # A short disturbance is over within a second, and another host may answer then.
 RETRY_AFTER_S = 1
 # An outage that has lasted this long goes on for seconds: callers that give up after
@@ -90,12 +92,17 @@
     @property
     def store_reachable(self) -> bool:
         """Whether the store has answered lately."""
-        return time.monotonic() - self._store_heard_at() < STORE_SILENCE_S
+        return self._store_silence_s < STORE_SILENCE_S
 
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self._configuration() is not None and self.store_reachable
+        known = self._configuration() is not None
+        return known and self._store_silence_s < READY_SILENCE_S
+
+    @property
+    def _store_silence_s(self) -> float:
+        return time.monotonic() - self._store_heard_at()
 
     def admit(self, host: str, path: str, key: str | None) -> Admitted | Reply:
         """Find the queue of a call and the account of its caller."""
@@ -167,7 +174,7 @@
         return Reply(outcomes[verdict])
 
     def _not_run(self, reason: str, request_id: str) -> Reply:
-        silence_s = time.monotonic() - self._store_heard_at()
+        silence_s = self._store_silence_s
         retry_after_s = RETRY_AFTER_S
         if silence_s > LONG_SILENCE_S:
             retry_after_s = LONG_RETRY_AFTER_S
--- /dev/null
+++ b/libs/jobs/tests/test_desk.py
@@ -0,0 +1,190 @@
+"""Callers' answers while the store is well, silent, refusing or losing answers."""
+
+import asyncio
+import time
+
+import pytest
+from bilberryhitch_jobs import (
+    Acceptance,
+    Account,
+    Configuration,
+    Demand,
+    Desk,
+    JobContent,
+    JobProgress,
+    JobState,
+    Limits,
+    Outcome,
+    Queue,
+    Reply,
+    Snapshot,
+    Step,
+    decode_request,
+    encode_progress,
+)
+from bilberryhitch_jobs.errors import CommitConflict, StoreRefused, StoreUnknown
+from bilberryhitch_jobs.rows import Row
+
+JOB = "0" * 16
+CONTENT = JobContent("spec", (Step(1, Demand(1), 1.0),), None)
+
+
+def queue(public=False):
+    return Queue("q", "h", "/q/", "pool", 3.0, 0, 2, 2.0, 1.0, public, None)
+
+
+def configuration(public=False):
+    accounts = {"a": Account("a", frozenset({"k"}), 0)}
+    return Configuration(
+        1, (queue(public),), {}, accounts, {"k": "a", "other": "b"}, Limits()
+    )
+
+
+class Store:
+    """Rows in memory whose next calls fail as listed."""
+
+    def __init__(self, *failures):
+        self.rows = {}
+        self.failures = list(failures)
+        self.calls = 0
+
+    def _fail(self, *, done):
+        self.calls += 1
+        if not self.failures:
+            return
+        failure = self.failures.pop(0)
+        if failure == "refused":
+            raise StoreRefused("call", "503")
+        if failure == "lost" or not done:
+            raise StoreUnknown("call", failure)
+
+    async def read(self, table, first="", last="", *, timeout_s):
+        self._fail(done=False)
+        rows = [row for key, row in sorted(self.rows.items()) if first <= key < last]
+        return Snapshot(tuple(rows), 1)
+
+    async def commit(self, expected, writes, removals=(), *, timeout_s):
+        failing = self.failures[:1]
+        if failing not in (["refused"], ["lost_undone"]):
+            if any(each.revision == 0 and each.key in self.rows for each in expected):
+                self._fail(done=True)
+                raise CommitConflict(())
+            for each in writes:
+                self.rows[each.key] = Row(each.table, each.key, each.value, 1)
+        if failing == ["lost_undone"]:
+            self.failures.pop(0)
+            raise StoreUnknown("call", "lost")
+        self._fail(done=True)
+        return 1
+
+
+def desk(store, *, heard=0.0, config=True, public=False):
+    return Desk(
+        Acceptance(store),
+        lambda: configuration(public) if config else None,
+        lambda: time.monotonic() - heard,
+    )
+
+
+def submit(store, **terms):
+    async def run():
+        counter = desk(store, **terms)
+        call = counter.admit("h", "/q/" + JOB, "k")
+        if isinstance(call, Reply):
+            return call
+        return await counter.submit(call, CONTENT, time.monotonic() + 0.5)
+
+    return asyncio.run(run())
+
+
+def test_an_accepted_job_is_stored_whole():
+    store = Store()
+    assert submit(store).outcome is Outcome.ACCEPTED
+    stored = decode_request(JOB, store.rows[JOB].value)
+    assert (stored.account, stored.spec, stored.steps) == ("a", "spec", CONTENT.steps)
+
+
+def test_the_same_identifier_is_one_job():
+    store = Store()
+    assert submit(store).outcome is Outcome.ACCEPTED
+    first = dict(store.rows)
+    assert submit(store).outcome is Outcome.ACCEPTED
+    assert store.rows == first
+
+
+def test_a_lost_answer_is_never_called_a_refusal():
+    """Guards against REFUSED: the store had taken the job."""
+    store = Store("lost", "refused", "refused")
+    assert submit(store).outcome in (Outcome.ACCEPTED, Outcome.UNKNOWN)
+    assert JOB in store.rows
+
+
+def test_an_unanswered_try_is_repeated_until_it_is_certain():
+    store = Store("lost_undone")
+    assert submit(store).outcome is Outcome.ACCEPTED
+    assert store.calls >= 1
+
+
+def test_a_certain_refusal_is_told_at_once_with_a_time_to_return():
+    store = Store("refused")
+    reply = submit(store)
+    assert reply.outcome is Outcome.NOT_RUN
+    assert reply.retry_after_s == 1
+    assert store.rows == {}
+    assert store.calls == 1
+
+
+def test_a_long_outage_refuses_without_a_call_and_asks_for_a_longer_pause():
+    """Load: callers with four retries spent them all within an outage of 5 s."""
+    store = Store()
+    reply = submit(store, heard=5.0)
+    assert reply.outcome is Outcome.NOT_RUN
+    assert reply.retry_after_s == 2
+    assert store.calls == 0
+
+
+@pytest.mark.parametrize(("heard", "ready"), [(0.0, True), (1.5, False), (60.0, False)])
+def test_a_host_without_the_store_sends_new_callers_elsewhere(heard, ready):
+    assert desk(Store(), heard=heard).ready is ready
+
+
+def test_a_host_without_a_configuration_refuses_and_is_not_ready():
+    counter = desk(Store(), config=False)
+    assert not counter.ready
+    assert counter.admit("h", "/q/" + JOB, "k").outcome is Outcome.NOT_RUN
+
+
+def test_unknown_queues_and_keys_are_told_apart():
+    counter = desk(Store())
+    assert counter.admit("h", "/other/", "k").outcome is Outcome.NO_QUEUE
+    assert counter.admit("h", "/q/", "wrong").outcome is Outcome.UNAUTHENTICATED
+    assert counter.admit("h", "/q/", None).outcome is Outcome.UNAUTHENTICATED
+    assert desk(Store(), public=True).admit("h", "/q/", None).account == ""
+
+
+def ask(store, key, method="state"):
+    async def run():
+        counter = desk(store)
+        call = counter.admit("h", "/q/" + JOB, key)
+        return await getattr(counter, method)(call, time.monotonic() + 0.5)
+
+    return asyncio.run(run())
+
+
+def test_a_job_is_shown_to_its_own_account_only():
+    """A rival must not learn of another's job."""
+    store = Store()
+    submit(store)
+    assert ask(store, "k").state is JobState.PENDING
+    assert ask(store, "other").outcome is Outcome.NO_JOB
+    assert ask(store, "other", "cancel").outcome is Outcome.NO_JOB
+
+
+def test_a_cancelled_job_is_shown_so_unless_it_had_ended():
+    store = Store()
+    submit(store)
+    assert ask(store, "k", "cancel").outcome is Outcome.CANCELLED
+    assert ask(store, "k").state is JobState.CANCELLED
+    done = encode_progress(JobProgress(JobState.COMPLETED, "a", {}, 5.0))
+    store.rows[JOB + ".s"] = Row("jobs", JOB + ".s", done, 2)
+    assert ask(store, "k").state is JobState.COMPLETED
