--- a/libs/planner/src/bilberryhitch_planner/placement.py
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -4,13 +4,16 @@
 workers and racks free for gangs.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from bilberryhitch_jobs import Demand, Step
 
+from .speeds import DISTURBED
 from .units import Unit
 from .workers import Worker
 
+# Differences below this are noise of the estimate.
+SPEED_STEP = 0.15
 # Part of a pool's workers that is spared for urgent work.
 HEADROOM_SHARE = 1 / 8
 HEADROOM_IDLE_SHARE = 0.5
@@ -77,8 +80,9 @@
         choices = [racks[step.data_rack]]
     elif step.same_rack or step.data_rack:
         choices = [rack for rack in racks.values() if _could_hold(rack, step)]
+    order = _fastest if unit.step.job.queue.priority == 0 else _tightness
     best = min(
-        filter(None, (_fill(rack, step) for rack in choices or [list(workers)])),
+        filter(None, (_fill(rack, step, order) for rack in choices or [list(workers)])),
         key=lambda option: option[0],
         default=None,
     )
@@ -96,7 +100,7 @@
     """
     step = unit.step.step
     booked = _booked(unit) if step.spread else {}
-    best: tuple[tuple[bool, int, int, str], Worker] | None = None
+    best: tuple[tuple[object, ...], Worker] | None = None
     for worker in workers:
         away = bool(step.data_rack) and worker.entry.rack != step.data_rack
         if away and not anywhere:
@@ -120,10 +124,12 @@
     return sum(total_slots(worker, step) for worker in rack) >= step.task_count
 
 
-def _fill(workers: list[Worker], step: Step) -> tuple[int, list[Worker]] | None:
+def _fill(
+    workers: list[Worker], step: Step, order: Callable[[Worker], tuple[float, ...]]
+) -> tuple[int, list[Worker]] | None:
     """Return accelerators left over and a worker for each task, or None."""
     members: list[Worker] = []
-    for worker in sorted(workers, key=_tightness):
+    for worker in sorted(workers, key=order):
         members += [worker] * min(
             task_slots(worker, step), step.task_count - len(members)
         )
@@ -142,5 +148,11 @@
     return counts
 
 
-def _tightness(worker: Worker) -> tuple[int, int]:
-    return worker.free.gpu, worker.free.cpu
+def _tightness(worker: Worker) -> tuple[float, ...]:
+    """Sort the fullest workers first, and slowed ones last."""
+    return worker.speed < DISTURBED, worker.free.gpu, worker.free.cpu
+
+
+def _fastest(worker: Worker) -> tuple[float, ...]:
+    """Sort the fastest workers first: a gang ends with its slowest member."""
+    return -round(worker.speed / SPEED_STEP), worker.free.gpu, worker.free.cpu
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -34,13 +34,13 @@
     WorkerEntry,
 )
 from .runs import Run, RunState
+from .speeds import ALL_DONE_PERCENT, observe, recover
 from .units import JobBook, StepBook, Unit
 from .workers import Worker
 
 # A task that shows no progress for this long stands still: the slowest workers
 # seen still gain a percent within a second.
 STALL_S = 3.5
-ALL_DONE_PERCENT = 100
 # After an order that did not lead to a run.
 RETRY_S = 0.15
 # The objective of an urgent job leaves about a second beside its own run time, of
@@ -293,6 +293,7 @@
     def tick(self, *, now: float, unix_s: float) -> None:
         """Release what has lapsed and stop what stands still."""
         for name, worker in list(self.workers.items()):
+            recover(worker)
             if now > worker.lease_until:
                 if worker.runs:
                     log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
@@ -597,6 +598,8 @@
         if running.percent != run.percent:
             run.percent = running.percent
             run.advanced_at = now
+            if run.state is RunState.RUNNING:
+                observe(worker, run, now)
         if running.saved:
             run.saved = running.saved
 
--- a/libs/planner/src/bilberryhitch_planner/runs.py
+++ b/libs/planner/src/bilberryhitch_planner/runs.py
@@ -24,6 +24,7 @@
     """A run that may exist on a worker, and holds its room there.
 
     :ivar unit: what it belongs to, or None for a run nobody needs
+    :ivar rate: percent per second at the last look
     :ivar settled_at: steady time of the answer after which a listing without
         the run proves that it is gone; None while it may still appear
     :ivar advanced_at: steady time of the last visible progress
@@ -35,6 +36,7 @@
         "number",
         "ordered_at",
         "percent",
+        "rate",
         "saved",
         "settled_at",
         "state",
@@ -60,6 +62,7 @@
         self.state = RunState.ORDERED
         self.saved = ""
         self.percent = 0.0
+        self.rate = 0.0
         self.ordered_at = now
         self.advanced_at = now
         self.settled_at: float | None = None
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -28,6 +28,7 @@
     :ivar synced: it has listed its runs to this planner
     :ivar listed: it is registered
     :ivar known_at: steady time at which this planner heard of it
+    :ivar speed: relative to the other workers, as far as it is known
     :ivar lease_until: steady time after which nothing can run there
     """
 
@@ -42,6 +43,7 @@
         self.known_at = now
         self.paused_until = 0.0
         self.last_end = 0
+        self.speed = 1.0
         self.born_ms = 0
         self.failures = 0
         self.failed_at = now
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -586,3 +586,27 @@
     assert world.starts() == []
     world.add(request("urgent", step(gpu=8, gang=True)))
     assert [order.task.job for order in world.starts()] == ["urgent"]
+
+
+def test_a_slowed_worker_is_found_by_comparison_and_used_last():
+    """Load: one slowed worker holds up every gang that it has a member of."""
+    workers = [entry(f"w{number}") for number in range(4)]
+    world = World(*workers)
+    for each in workers:
+        world.report(each.worker)
+    world.add(request("j", step(4, gpu=8, gang=True)))
+    members = world.starts()
+    for order in members:
+        world.answer(order)
+    slow = members[0].worker
+    for tenth in range(1, 45):
+        world.now = tenth / 10
+        for order in members:
+            share = 2 if order.worker == slow else 20
+            world.report(order.worker, [running(order, share * world.now)])
+    speeds = {name: worker.speed for name, worker in world.planner.workers.items()}
+    assert min(speeds, key=speeds.get) == slow
+    for order in members:
+        world.report(order.worker, ended=[ended(order)])
+    world.add(request("k", step(3, gpu=8, gang=True)))
+    assert slow not in {order.worker for order in world.starts()}
