--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 SOURCES := $(wildcard libs/*/src) platform/src
 SEED ?= 1
 STEPS ?= 2000
+SEEDS ?= 1-5
 
-.PHONY: demo test lint format fuzz measure measure-control dist clean
+.PHONY: demo test lint format fuzz soak measure measure-control dist clean
 
 $(VENV)/.ready: requirements.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +35,9 @@
 fuzz: $(VENV)/.ready
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
 
+soak: $(VENV)/.ready
+	$(BIN)/python -m tests.soak.soak --seeds $(SEEDS)
+
 measure: $(VENV)/.ready
 	$(BIN)/python -m measure --seed $(SEED)
 
--- /dev/null
+++ b/tests/path/platform_deployment.py
@@ -0,0 +1,150 @@
+"""A store, workers and entry hosts on loopback, for process tests and the soak."""
+
+import asyncio
+import os
+import random
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import aiohttp
+import msgspec
+import pytest
+from bilberryhitch_adapter_standins import FleetStandin, StoreStandin
+from bilberryhitch_jobs import Demand
+from bilberryhitch_standins.task_workers import TaskTruth, WorkerTerms
+
+TERMS = WorkerTerms(stop_s=0.1)
+KEY = {"Authorization": "Token key-a", "Host": "jobs.example"}
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "fast",
+            "host": "jobs.example",
+            "path-prefix": "/fast/",
+            "kind": "non_idempotent",
+            "timeout-ms": 3000,
+            "priority": 0,
+            "backend": "pool",
+            "max-attempts": 2,
+            "stretch": 2.0,
+            "target-runtime-ms": 1000,
+            "public": False,
+        }
+    ],
+    "services": [{"name": "pool", "rejects-overload": False}],
+    "tenants": [{"name": "a", "keys": ["key-a"], "guaranteed": {"gpu": 8}}],
+    "limits": {"max-body-bytes": 262144},
+}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Deployment:
+    """A store, workers and entry hosts."""
+
+    def __init__(self, folder: Path, work_s: float):
+        rng = random.Random(7)
+        self.folder = folder
+        self.store = StoreStandin(rng)
+        self.fleet = FleetStandin(
+            self.store,
+            lambda task: TaskTruth(work_s, Demand(1000, 1000, 1), gang_size=1),
+            rng,
+            TERMS,
+        )
+        self.hosts = {}
+        self.ports = {}
+
+    async def start(self, hosts=2, workers=2):
+        await self.store.start()
+        await self.store.put("op", "config", CONFIGURATION)
+        await self.fleet.start(workers)
+        for number in range(hosts):
+            self.launch(f"host-{number}")
+        self.session = aiohttp.ClientSession()
+        for name in self.hosts:
+            await self.until_ready(name)
+
+    def launch(self, name):
+        ports = self.ports.setdefault(name, (free_port(), free_port(), free_port()))
+        front, ready, metrics = ports
+        settings = {
+            "node-name": name,
+            "zone": "dc",
+            "ip": "127.0.0.1",
+            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "metrics-port": metrics,
+            "platform": {"address": self.store.listener.address, "row-bytes": 65536},
+            "timing-bounds": {"grace-s": 3, "status_s": 120},
+        }
+        path = self.folder / f"{name}.jsonc"
+        path.write_bytes(msgspec.json.encode(settings))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.hosts[name] = subprocess.Popen(
+                [sys.executable, "-m", "bilberryhitch_adapter"],
+                env={**os.environ, "BILBERRYHITCH_NODE_FILE": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def until_ready(self, name):
+        url = f"http://127.0.0.1:{self.ports[name][1]}/bilberryhitch/readyz"
+        for _ in range(200):
+            try:
+                async with self.session.get(url) as answer:
+                    if answer.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
+        pytest.fail(f"{name} is not ready: {self.log(name)[-2000:]}")
+
+    async def call(self, method, path, name="host-0", body=None, headers=None):
+        url = f"http://127.0.0.1:{self.ports[name][0]}{path}"
+        data = None if body is None else msgspec.json.encode(body)
+        async with self.session.request(
+            method, url, data=data, headers=headers or KEY
+        ) as answer:
+            content = await answer.read()
+            return answer.status, msgspec.json.decode(content) if content else {}
+
+    async def until_state(self, job, state, name="host-0"):
+        seen = None
+        for _ in range(400):
+            seen = await self.call("GET", f"/fast/{job}", name)
+            if seen == (200, {"state": state}):
+                return
+            await asyncio.sleep(0.05)
+        pytest.fail(f"{job} is {seen}, not {state}: {self.log(name)[-3000:]}")
+
+    def log(self, name):
+        return (self.folder / f"{name}.log").read_text()
+
+    def leader(self):
+        value = msgspec.json.decode(self.store.rows("planner")["lease"])
+        return value["holder"].partition("/")[0]
+
+    async def close(self):
+        for process in self.hosts.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        await self.session.close()
+        await self.fleet.close()
+        await self.store.close()
+
+
+def job(number):
+    return f"{number:016x}"
+
+
+def body(count=2, **terms):
+    step = {"count": count, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimate-ms": 300}
+    return {"spec": "s", "steps": [{**step, **terms}]}
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,13 @@
+"""A short seeded soak in CI, and every seed that ever failed."""
+
+import pytest
+
+from tests.soak.soak import play
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_no_promise_is_broken_under_random_faults(seed):
+    soak = play(seed, seconds=8.0)
+    assert soak.faults
+    assert soak.accepted
+    assert soak.violations == []
