--- a/libs/planner/src/bilberryhitch_planner/__init__.py
+++ b/libs/planner/src/bilberryhitch_planner/__init__.py
@@ -10,6 +10,8 @@
 from .lead import Candidate, Lead
 from .planner import Planner
 from .reports import (
+    Advice,
+    AdviseOrder,
     EndedTask,
     EndKind,
     HoldReport,
@@ -24,6 +26,8 @@
 from .worker_calls import WorkerCalls
 
 __all__ = [
+    "Advice",
+    "AdviseOrder",
     "Campaign",
     "Candidate",
     "Deposed",
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -20,7 +20,7 @@
 from .errors import Deposed, Isolated, MachinesUnknown, WorkerFenced
 from .journal import Journal, read_roster
 from .planner import Planner
-from .reports import WorkerEntry
+from .reports import Advice, AdviseOrder, WorkerEntry
 from .session import Session
 from .tenure import WORKER_LEASE_HORIZON_S, Tenure
 from .worker_calls import WorkerCalls
@@ -47,6 +47,7 @@
     """Everything that lives as long as one tenure.
 
     :param worker_table: table in which workers register themselves
+    :param advise: asks the advice service; None if there is no usable answer
     :param list_machines: returns the workers whose machines are up; raises
         ``MachinesUnknown``
     :param decode_worker: reads a registration; None for one that names no worker
@@ -61,6 +62,7 @@
         worker_table: str,
         decode_worker: Callable[[Row], WorkerEntry | None],
         configuration: Callable[[], Configuration | None],
+        advise: Callable[[AdviseOrder], Awaitable[Advice | None]],
         list_machines: Callable[[], Awaitable[frozenset[str]]],
         keep_s: float,
     ) -> None:
@@ -79,6 +81,7 @@
         self._decode_worker = decode_worker
         self._configuration = configuration
         self._list_machines = list_machines
+        self._advise = advise
         self._version = -1
         self._jobs = Follower(store, JOBS, self._load_jobs, self._take_job_row)
         self._worker_rows = Follower(
@@ -131,9 +134,17 @@
                 session = self._sessions.get(order.worker)
                 if session is not None:
                     self._spawn(session.send(order))
+            questions, self.planner.questions = self.planner.questions, []
+            for question in questions:
+                self._spawn(self._ask(question))
             self.journal.notify()
             self._check_isolation(now)
 
+    async def _ask(self, question: AdviseOrder) -> None:
+        advice = await self._advise(question)
+        self.planner.take_advice(question, advice, now=time.monotonic())
+        self._changed()
+
     async def _look_for_gone(self) -> None:
         """Ask the list of machines about workers that cannot be asked themselves.
 
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -17,11 +17,14 @@
 )
 from bilberryhitch_telemetry import events, log
 
+from .advice import Permissions
 from .guarantees import Guarantees
 from .ordering import job_order
 from .placement import headroom, place_gang, place_task, suits
 from .reclaim import KeptRoom, find_eviction
 from .reports import (
+    Advice,
+    AdviseOrder,
     EndedTask,
     EndKind,
     HoldReport,
@@ -86,6 +89,8 @@
         self._queues: dict[str, Queue] = {}
         self._guarantees = Guarantees()
         self._headroom: dict[str, frozenset[str]] = {}
+        self.questions: list[AdviseOrder] = []
+        self._permissions: dict[tuple[str, int, int], Permissions] = {}
 
     @property
     def unconfirmed(self) -> bool:
@@ -269,6 +274,9 @@
             worker.note_refusal(now)
         if run.unit is not None:
             run.unit.retry_at = now + RETRY_S
+            permissions = self._permissions_of(run.unit.step)
+            if outcome is StartOutcome.NO_TICKET and permissions is not None:
+                permissions.drop(order.worker)
         if outcome is StartOutcome.OLD:
             # It has ended there, or can never begin; the next list tells.
             run.state = RunState.STOPPING
@@ -290,6 +298,22 @@
         if run is not None and outcome is StopOutcome.STOPPED:
             run.settled_at = now
 
+    def take_advice(
+        self, order: AdviseOrder, advice: Advice | None, *, now: float
+    ) -> None:
+        """Take the advice service's answer; None if there was none."""
+        known = self._permissions.get((order.job, order.occurrence, order.step))
+        if known is not None and advice is not None:
+            known.take(order.workers, advice.granted, now + advice.valid_s)
+            log(
+                events.ADVICE_TAKEN,
+                request_id=order.job,
+                step=order.step,
+                asked=len(order.workers),
+                granted=len(advice.granted),
+                valid_s=advice.valid_s,
+            )
+
     def tick(self, *, now: float, unix_s: float) -> None:
         """Release what has lapsed and stop what stands still."""
         for name, worker in list(self.workers.items()):
@@ -359,6 +383,14 @@
     ) -> None:
         all_workers = usable.get(step.job.queue.service, [])
         workers = [worker for worker in all_workers if suits(worker, step.step)]
+        permissions = self._permissions_of(step)
+        if permissions is not None:
+            question = permissions.request(step, workers, now)
+            if question is not None:
+                self.questions.append(question)
+            workers = [
+                each for each in workers if permissions.holds(each.entry.worker, now)
+            ]
         anywhere = self._data_may_move(step, workers, now)
         for unit in list(step.waiting.values()):
             if unit.retry_at > now or (
@@ -371,6 +403,13 @@
             elif not self._reclaim(unit, workers, now):
                 break
 
+    def _permissions_of(self, step: StepBook) -> Permissions | None:
+        """Return what is known of a step whose queue needs permissions."""
+        if step.job.queue.advice is None:
+            return None
+        key = (step.job.request.job, step.occurrence, step.index)
+        return self._permissions.setdefault(key, Permissions())
+
     def _place(
         self, unit: Unit, workers: list[Worker], anywhere: bool, now: float
     ) -> dict[int, Worker] | None:
@@ -408,13 +447,21 @@
         step.waiting.pop(unit.index, None)
         self._kept.release(unit)
         demand = step.step.booked
+        permissions = self._permissions_of(step)
         for index, worker in members.items():
             name = worker.entry.worker
             run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
             unit.runs[index] = run
             worker.add_run(run)
             self._orders.append(
-                StartOrder(name, run.task, run.number, job.request.spec, unit.saved)
+                StartOrder(
+                    name,
+                    run.task,
+                    run.number,
+                    job.request.spec,
+                    unit.saved,
+                    permissions.ticket(name) if permissions else "",
+                )
             )
         job.state = JobState.RUNNING
         self._guarantees.claim(unit)
@@ -488,6 +535,7 @@
                     self._order_stop(run)
         for occurrence, index in job.steps:
             self._ready.pop((name, occurrence, index), None)
+            self._permissions.pop((name, occurrence, index), None)
         self._kept.release_job(job)
 
     def _take_end(
--- a/libs/planner/src/bilberryhitch_planner/reports.py
+++ b/libs/planner/src/bilberryhitch_planner/reports.py
@@ -109,6 +109,7 @@
 
     :param spec: the caller's text
     :param saved: checkpoint to resume from; empty for none
+    :param ticket: permission of the advice service; empty for none
     """
 
     worker: str
@@ -116,6 +117,7 @@
     run: int
     spec: str
     saved: str
+    ticket: str = ""
 
 
 class StopOrder(NamedTuple):
@@ -126,4 +128,23 @@
     run: int
 
 
+class AdviseOrder(NamedTuple):
+    """A question to the advice service about one occurrence of a step."""
+
+    job: str
+    occurrence: int
+    step: int
+    workers: tuple[str, ...]
+
+
+class Advice(NamedTuple):
+    """The advice service's answer.
+
+    :param granted: ticket by worker
+    """
+
+    granted: dict[str, str]
+    valid_s: float
+
+
 Order = StartOrder | StopOrder
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -3,6 +3,7 @@
 from bilberryhitch_jobs import (
     GANG,
     Account,
+    AdviceTerms,
     Configuration,
     Demand,
     JobProgress,
@@ -16,6 +17,7 @@
     UnitProgress,
 )
 from bilberryhitch_planner import (
+    Advice,
     EndedTask,
     EndKind,
     HoldReport,
@@ -610,3 +612,24 @@
         world.report(order.worker, ended=[ended(order)])
     world.add(request("k", step(3, gpu=8, gang=True)))
     assert slow not in {order.worker for order in world.starts()}
+
+
+def test_a_step_that_needs_permission_is_asked_for_and_carries_its_ticket():
+    """Guards against starts that every worker of such a queue rejects."""
+    world = World(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        world.report(name)
+    advised = queue("advised", 1)._replace(advice=AdviceTerms(0.05, 0.01, 3.0))
+    world.add(request("j", step(2, gpu=8), route=advised))
+    assert world.starts() == []
+    (question,) = world.planner.questions
+    assert sorted(question.workers) == ["w1", "w2"]
+    assert world.starts() == []
+    assert len(world.planner.questions) == 1
+    world.planner.take_advice(question, Advice({"w2": "t-2"}, 3.0), now=0.1)
+    (order,) = world.starts()
+    assert (order.worker, order.ticket) == ("w2", "t-2")
+    world.answer(order, StartOutcome.NO_TICKET)
+    world.now = 0.5
+    assert world.starts() == []
+    assert world.planner.questions[-1].workers == ("w2",)
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -345,6 +345,12 @@
 UNITS_EVICTED = Event(
     4216, "units_evicted", "INFO", "Work was stopped for a guaranteed job."
 )
+ADVICE_TAKEN = Event(
+    4217, "advice_taken", "INFO", "The advice service named workers for a step."
+)
+ADVICE_MISSING = Event(
+    4218, "advice_missing", "WARNING", "The advice service gave no usable answer."
+)
 JOB_SUBMITTED = Event(5101, "job_submitted", "INFO", "A caller submitted a job.")
 JOB_CANCEL_ASKED = Event(
     5102, "job_cancel_asked", "INFO", "A caller asked for a job's cancellation."
