--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -39,6 +39,7 @@
 GONE_PERIOD_S = 0.5
 # A planned handover must leave most of the shutdown's time to open requests.
 RELEASE_S = 1.5
+CANCEL_PERIOD_S = 0.2
 # The least time after a takeover before the workers' silence is judged.
 ISOLATION_GRACE_S = 3.0
 
@@ -310,6 +311,7 @@
         self._win = win
         self._make_lead = lead
         self._lead: Lead | None = None
+        self._closing = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -325,14 +327,17 @@
         """Stop; a lease that is held is given up."""
         if self._task is None:
             return
+        self._closing = True
         lead = self._lead
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        while not self._task.done():
+            # A task group drops a cancellation that meets an error of a child.
+            self._task.cancel()
+            await asyncio.wait((self._task,), timeout=CANCEL_PERIOD_S)
         if lead is not None:
             await self._release(lead)
 
     async def _run(self) -> None:
-        while True:
+        while not self._closing:
             tenure = await self._win()
             lead = self._lead = self._make_lead(tenure)
             log(events.PLANNER_STARTED, fencing_token=tenure.token)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,8 @@
 from tests.soak.soak import play
 
 
-@pytest.mark.parametrize("seed", [1])
+# 2: a frozen planner woke up isolated and was stopped in the same turn; it never ended.
+@pytest.mark.parametrize("seed", [1, 2])
 def test_no_promise_is_broken_under_random_faults(seed):
     soak = play(seed, seconds=8.0)
     assert soak.faults
