--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -113,7 +113,7 @@
         while True:
             try:
                 for name in await read_roster(self._store):
-                    self.planner.add_doubtful(name)
+                    self.planner.add_doubtful(name, now=time.monotonic())
                 await self._jobs.advance()
                 return
             except STORE_ERRORS as error:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -330,11 +330,12 @@
             for run in list(worker.runs.values()):
                 self._check_stall(worker, run, now)
 
-    def add_doubtful(self, name: str) -> None:
+    def add_doubtful(self, name: str, *, now: float) -> None:
         """Note an unregistered worker on which something may still run."""
         if name not in self.workers:
             entry = WorkerEntry(name, "", "", "", Demand(), frozenset(), "")
-            worker = Worker(entry, self._inherited_until)
+            worker = Worker(entry, now)
+            worker.lease_until = max(now, self._inherited_until)
             worker.listed = False
             self.workers[name] = worker
 
