--- /dev/null
+++ b/libs/planner/src/bilberryhitch_planner/books.py
@@ -0,0 +1,284 @@
+"""What the planner knows of jobs, workers and runs, and what follows from an end."""
+
+from bilberryhitch_jobs import JobState, TaskName
+from bilberryhitch_telemetry import events, log
+
+from .advice import Permissions
+from .reclaim import KeptRoom
+from .reports import (
+    EndedTask,
+    EndKind,
+    Order,
+    RunningTask,
+    StopOrder,
+)
+from .runs import Run, RunState
+from .speeds import ALL_DONE_PERCENT, observe
+from .units import JobBook, StepBook, Unit
+from .workers import Worker
+
+# A task that shows no progress for this long stands still: the slowest workers
+# seen still gain a percent within a second.
+STALL_S = 3.5
+# A worker's last list says nothing of the present after this.
+FRESH_LIST_S = 1.0
+
+
+class Books:
+    """Jobs, workers and the runs that join them.
+
+    :ivar dirty: names of the jobs whose progress must be stored
+    :ivar orders: orders that are due to be sent
+    :ivar ready: steps whose earlier steps are done
+    :ivar kept: room that is being made for urgent units
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobBook] = {}
+        self.workers: dict[str, Worker] = {}
+        self.dirty: set[str] = set()
+        self.orders: list[Order] = []
+        self.ready: dict[tuple[str, int, int], StepBook] = {}
+        self.kept = KeptRoom()
+        self.permissions: dict[tuple[str, int, int], Permissions] = {}
+
+    def permissions_of(self, step: StepBook) -> Permissions | None:
+        """Return what is known of a step whose queue needs permissions."""
+        if step.job.queue.advice is None:
+            return None
+        key = (step.job.request.job, step.occurrence, step.index)
+        return self.permissions.setdefault(key, Permissions())
+
+    def open_steps(self, job: JobBook, now: float) -> None:
+        """Let the steps run whose earlier steps are done."""
+        for (occurrence, index), step in job.steps.items():
+            key = (job.request.job, occurrence, index)
+            if key in self.ready or not step.undone or not step.ready:
+                continue
+            self.ready[key] = step
+            for unit in step.waiting.values():
+                unit.waiting_since = max(unit.waiting_since, min(now, job.arrived_at))
+
+    def finish(self, job: JobBook, state: JobState, unix_s: float) -> None:
+        """End a job and stop what is left of it."""
+        job.state = state
+        job.finished_s = unix_s
+        name = job.request.job
+        self.dirty.add(name)
+        log(events.JOB_ENDED, request_id=name, state=str(state))
+        for unit in job.units:
+            if not unit.done:
+                for run in unit.runs.values():
+                    self.order_stop(run)
+        for occurrence, index in job.steps:
+            self.ready.pop((name, occurrence, index), None)
+            self.permissions.pop((name, occurrence, index), None)
+        self.kept.release_job(job)
+
+    def take_end(
+        self, worker: Worker, ended: EndedTask, now: float, unix_s: float
+    ) -> None:
+        """Take an end that a worker lists; a known one is passed over."""
+        if ended.sequence <= worker.last_end:
+            return
+        worker.last_end = ended.sequence
+        run = worker.runs.get((ended.task, ended.run))
+        log(
+            events.RUN_ENDED,
+            request_id=ended.task.job,
+            task=task_text(ended.task),
+            run=ended.run,
+            worker=worker.entry.worker,
+            how=str(ended.how),
+            sequence=ended.sequence,
+            known=run is not None,
+        )
+        if run is not None:
+            self.run_ended(worker, run, ended.how, ended.saved, now, unix_s)
+            return
+        job = self.jobs.get(ended.task.job)
+        unit = job.find_unit(ended.task) if job else None
+        if job is None or unit is None or unit.done or job.finished:
+            return
+        unit.last_run = max(unit.last_run, ended.run)
+        same_run = all(run.number == ended.run for run in unit.runs.values())
+        if same_run or ended.how is EndKind.FAILED:
+            self._settle(unit, ended.run, ended.how, ended.saved, now, unix_s)
+
+    def run_ended(
+        self,
+        worker: Worker,
+        run: Run,
+        how: EndKind,
+        saved: str,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Release a run that is gone and draw the consequences for its unit."""
+        worker.drop_run(run)
+        if how is EndKind.DONE:
+            worker.note_success()
+        elif how is EndKind.FAILED:
+            worker.note_failure(now)
+        unit = run.unit
+        if unit is None:
+            return
+        if unit.runs.get(run.task.ordinal) is run:
+            del unit.runs[run.task.ordinal]
+        if not unit.step.job.finished:
+            self._settle(unit, run.number, how, saved or run.saved, now, unix_s)
+
+    def _settle(
+        self,
+        unit: Unit,
+        number: int,
+        how: EndKind,
+        saved: str,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Apply the end of one of a unit's runs."""
+        step, job = unit.step, unit.step.job
+        if unit.done:
+            return
+        self.dirty.add(job.request.job)
+        if not job.begun:
+            job.state = JobState.RUNNING
+        if how is EndKind.DONE and not step.step.lasting:
+            self._complete(unit, now, unix_s)
+            return
+        if saved and number == unit.last_run:
+            unit.saved = saved
+        if how is EndKind.FAILED and not step.step.lasting:
+            unit.failed_runs.add(number)
+            if unit.attempts_left <= 0:
+                self.finish(job, JobState.FAILED, unix_s)
+                return
+        for run in unit.runs.values():
+            if run.number == number:
+                self.order_stop(run)
+        self._wait_again(unit, now)
+
+    def _complete(self, unit: Unit, now: float, unix_s: float) -> None:
+        step, job = unit.step, unit.step.job
+        step.mark_done(unit)
+        if job.complete:
+            self.finish(job, JobState.COMPLETED, unix_s)
+        elif not step.undone:
+            self.open_steps(job, now)
+
+    def _wait_again(self, unit: Unit, now: float) -> None:
+        """Queue a unit whose last run is gone."""
+        if not unit.runs:
+            unit.waiting_since = now
+            unit.step.waiting[unit.index] = unit
+
+    def take_running(self, worker: Worker, running: RunningTask, now: float) -> None:
+        """Take a run that a worker lists as running."""
+        run = worker.runs.get((running.task, running.run))
+        if run is None:
+            run = self._adopt(worker, running, now)
+        if run.state is RunState.ORDERED:
+            run.state = RunState.RUNNING
+        if run.state is RunState.RUNNING and run.settled_at is None:
+            run.settled_at = now
+        if running.percent != run.percent:
+            run.percent = running.percent
+            run.advanced_at = now
+            if run.state is RunState.RUNNING:
+                observe(worker, run, now)
+        if running.saved:
+            run.saved = running.saved
+
+    def _adopt(self, worker: Worker, running: RunningTask, now: float) -> Run:
+        """Book a run that this planner has not ordered; stop it if unneeded."""
+        job = self.jobs.get(running.task.job)
+        unit = job.find_unit(running.task) if job else None
+        # What is stopped still takes its room; an unknown job's task may take all.
+        demand = job.demand_of(running.task) if job else None
+        needed = (
+            job is not None
+            and not job.finished
+            and unit is not None
+            and not unit.done
+            and running.run >= unit.last_run
+            and all(run.number == running.run for run in unit.runs.values())
+            and running.task.ordinal not in unit.runs
+        )
+        run = Run(
+            running.task,
+            running.run,
+            worker.entry.capacity if demand is None else demand,
+            worker.entry.worker,
+            unit if needed else None,
+            now,
+        )
+        run.settled_at = now
+        worker.add_run(run)
+        log(
+            events.RUN_ADOPTED,
+            request_id=running.task.job,
+            task=task_text(running.task),
+            run=running.run,
+            worker=worker.entry.worker,
+            needed=needed,
+        )
+        if not needed or unit is None or job is None:
+            self.order_stop(run)
+            return run
+        run.state = RunState.RUNNING
+        unit.runs[running.task.ordinal] = run
+        unit.last_run = running.run
+        # A gang's unseen members may be on a worker that cannot be asked.
+        unit.adopted = len(unit.runs) == len(unit.task_indexes)
+        unit.step.waiting.pop(unit.index, None)
+        if not job.begun:
+            job.state = JobState.RUNNING
+        self.dirty.add(running.task.job)
+        return run
+
+    def order_stop(self, run: Run) -> None:
+        """Stop a run once."""
+        if run.state is RunState.STOPPING:
+            return
+        run.state = RunState.STOPPING
+        run.settled_at = None
+        self.orders.append(StopOrder(run.worker, run.task, run.number))
+
+    def stop_others(self, run: Run) -> None:
+        """Stop the other members of a gang that cannot come together."""
+        if run.unit is None:
+            return
+        for other in run.unit.runs.values():
+            if other is not run:
+                self.order_stop(other)
+
+    def check_stall(self, worker: Worker, run: Run, now: float) -> None:
+        """Stop a unit of which a run stands still."""
+        unit = run.unit
+        if (
+            run.state is not RunState.RUNNING
+            or unit is None
+            or unit.step.step.lasting
+            # A gang's faster members wait for the others with their work done.
+            or run.percent >= ALL_DONE_PERCENT
+            or now - run.advanced_at < STALL_S
+            or now - worker.answered_at > FRESH_LIST_S
+        ):
+            return
+        log(
+            events.RUN_STALLED,
+            request_id=run.task.job,
+            task=task_text(run.task),
+            run=run.number,
+            worker=run.worker,
+            percent=run.percent,
+        )
+        worker.note_failure(now)
+        for each in unit.runs.values():
+            self.order_stop(each)
+
+
+def task_text(task: TaskName) -> str:
+    """Return a task's name for logs."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.ordinal}"
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -13,23 +13,20 @@
     JobRequest,
     JobState,
     Queue,
-    TaskName,
 )
 from bilberryhitch_telemetry import events, log
 
-from .advice import Permissions
+from .books import Books, task_text
 from .guarantees import Guarantees
 from .ordering import job_order
 from .placement import headroom, place_gang, place_task, suits
-from .reclaim import KeptRoom, find_eviction
+from .reclaim import find_eviction
 from .reports import (
     Advice,
     AdviseOrder,
-    EndedTask,
     EndKind,
     HoldReport,
     Order,
-    RunningTask,
     StartOrder,
     StartOutcome,
     StopOrder,
@@ -37,13 +34,10 @@
     WorkerEntry,
 )
 from .runs import Run, RunState
-from .speeds import ALL_DONE_PERCENT, observe, recover
+from .speeds import recover
 from .units import JobBook, StepBook, Unit
 from .workers import Worker
 
-# A task that shows no progress for this long stands still: the slowest workers
-# seen still gain a percent within a second.
-STALL_S = 3.5
 # After an order that did not lead to a run.
 RETRY_S = 0.15
 # The objective of an urgent job leaves about a second beside its own run time, of
@@ -75,13 +69,8 @@
         inherited_revision: int,
         inherited_until: float,
     ) -> None:
-        self.jobs: dict[str, JobBook] = {}
-        self.workers: dict[str, Worker] = {}
-        self.dirty: set[str] = set()
+        self._books = Books()
         self.rostered: frozenset[str] = frozenset()
-        self._orders: list[Order] = []
-        self._ready: dict[tuple[str, int, int], StepBook] = {}
-        self._kept = KeptRoom()
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
         self._confirmed_revision = inherited_revision
@@ -90,7 +79,25 @@
         self._guarantees = Guarantees()
         self._headroom: dict[str, frozenset[str]] = {}
         self.questions: list[AdviseOrder] = []
-        self._permissions: dict[tuple[str, int, int], Permissions] = {}
+
+    @property
+    def jobs(self) -> dict[str, JobBook]:
+        """Accepted jobs by name."""
+        return self._books.jobs
+
+    @property
+    def workers(self) -> dict[str, Worker]:
+        """Workers by the name of their incarnation."""
+        return self._books.workers
+
+    @property
+    def dirty(self) -> set[str]:
+        """Names of the jobs whose progress must be stored."""
+        return self._books.dirty
+
+    @dirty.setter
+    def dirty(self, names: set[str]) -> None:
+        self._books.dirty = names
 
     @property
     def unconfirmed(self) -> bool:
@@ -142,20 +149,20 @@
         if job.finished:
             return
         if job.complete:
-            self._finish(job, JobState.COMPLETED, unix_s)
+            self._books.finish(job, JobState.COMPLETED, unix_s)
             return
         for unit in job.units:
             if not unit.done and unit.failed_runs and unit.attempts_left <= 0:
-                self._finish(job, JobState.FAILED, unix_s)
+                self._books.finish(job, JobState.FAILED, unix_s)
                 return
         self._newest_revision = max(self._newest_revision, revision)
-        self._open_steps(job, now)
+        self._books.open_steps(job, now)
 
     def cancel_job(self, name: str, *, unix_s: float) -> None:
         """Stop a job; one that has ended stays as it is."""
         job = self.jobs.get(name)
         if job is not None and not job.finished:
-            self._finish(job, JobState.CANCELLED, unix_s)
+            self._books.finish(job, JobState.CANCELLED, unix_s)
 
     def forget_job(self, name: str) -> None:
         """Drop a finished job whose rows are removed."""
@@ -198,7 +205,7 @@
             return
         log(events.WORKER_GONE, worker=name, runs=len(worker.runs))
         for run in list(worker.runs.values()):
-            self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+            self._books.run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
 
     def report(
         self,
@@ -219,7 +226,7 @@
         if worker.born_ms not in (0, report.born_ms):
             # Another life under the same identifier: nothing of before is left.
             for run in list(worker.runs.values()):
-                self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+                self._books.run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
             worker.last_end = 0
         worker.born_ms = report.born_ms
         worker.set_clock(report.clock_s, now)
@@ -227,16 +234,16 @@
             worker.synced = True
             log(events.WORKER_SYNCED, worker=name, running=len(report.running))
         for ended in report.ended:
-            self._take_end(worker, ended, now, unix_s)
+            self._books.take_end(worker, ended, now, unix_s)
         listed = set()
         for running in report.running:
             listed.add((running.task, running.run))
-            self._take_running(worker, running, now)
+            self._books.take_running(worker, running, now)
         if len(report.ended) < ENDS_PER_REPORT:
             for key, run in list(worker.runs.items()):
                 settled = run.settled_at is not None and run.settled_at < sent_at
                 if key not in listed and settled:
-                    self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+                    self._books.run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
 
     def start_answered(
         self,
@@ -264,7 +271,7 @@
         log(
             events.START_NOT_DONE,
             request_id=order.task.job,
-            task=_text(order.task),
+            task=task_text(order.task),
             run=order.run,
             worker=order.worker,
             outcome=str(outcome),
@@ -274,20 +281,20 @@
             worker.note_refusal(now)
         if run.unit is not None:
             run.unit.retry_at = now + RETRY_S
-            permissions = self._permissions_of(run.unit.step)
+            permissions = self._books.permissions_of(run.unit.step)
             if outcome is StartOutcome.NO_TICKET and permissions is not None:
                 permissions.drop(order.worker)
         if outcome is StartOutcome.OLD:
             # It has ended there, or can never begin; the next list tells.
             run.state = RunState.STOPPING
             run.settled_at = now
-            self._stop_others(run)
+            self._books.stop_others(run)
         elif certain and outcome is not StartOutcome.UNKNOWN:
-            self._run_ended(worker, run, EndKind.STOPPED, "", now, unix_s)
+            self._books.run_ended(worker, run, EndKind.STOPPED, "", now, unix_s)
         else:
             worker.note_refusal(now)
-            self._order_stop(run)
-            self._stop_others(run)
+            self._books.order_stop(run)
+            self._books.stop_others(run)
 
     def stop_answered(
         self, order: StopOrder, outcome: StopOutcome, *, now: float
@@ -302,7 +309,7 @@
         self, order: AdviseOrder, advice: Advice | None, *, now: float
     ) -> None:
         """Take the advice service's answer; None if there was none."""
-        known = self._permissions.get((order.job, order.occurrence, order.step))
+        known = self._books.permissions.get((order.job, order.occurrence, order.step))
         if known is not None and advice is not None:
             known.take(order.workers, advice.granted, now + advice.valid_s)
             log(
@@ -323,12 +330,12 @@
                     log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
                 worker.synced = worker.synced or not worker.listed
                 for run in list(worker.runs.values()):
-                    self._run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
+                    self._books.run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
                 if not worker.listed:
                     del self.workers[name]
                 continue
             for run in list(worker.runs.values()):
-                self._check_stall(worker, run, now)
+                self._books.check_stall(worker, run, now)
 
     def add_doubtful(self, name: str, *, now: float) -> None:
         """Note an unregistered worker on which something may still run."""
@@ -359,7 +366,7 @@
             ):
                 continue
             self._place_step(step, usable, blocked, now)
-        orders, self._orders = self._orders, []
+        orders, self._books.orders = self._books.orders, []
         return orders
 
     def waiting_counts(self) -> dict[str, int]:
@@ -372,7 +379,7 @@
         return counts
 
     def _steps_in_order(self, now: float) -> list[StepBook]:
-        steps = [step for step in self._ready.values() if step.waiting]
+        steps = [step for step in self._books.ready.values() if step.waiting]
         return sorted(steps, key=lambda step: job_order(step, now))
 
     def _place_step(
@@ -384,7 +391,7 @@
     ) -> None:
         all_workers = usable.get(step.job.queue.service, [])
         workers = [worker for worker in all_workers if suits(worker, step.step)]
-        permissions = self._permissions_of(step)
+        permissions = self._books.permissions_of(step)
         if permissions is not None:
             question = permissions.request(step, workers, now)
             if question is not None:
@@ -404,13 +411,6 @@
             elif not self._reclaim(unit, workers, now):
                 break
 
-    def _permissions_of(self, step: StepBook) -> Permissions | None:
-        """Return what is known of a step whose queue needs permissions."""
-        if step.job.queue.advice is None:
-            return None
-        key = (step.job.request.job, step.occurrence, step.index)
-        return self._permissions.setdefault(key, Permissions())
-
     def _place(
         self, unit: Unit, workers: list[Worker], anywhere: bool, now: float
     ) -> dict[int, Worker] | None:
@@ -420,7 +420,7 @@
         allowed = [
             worker
             for worker in workers
-            if self._kept.allows(worker, unit)
+            if self._books.kept.allows(worker, unit)
             and (job.queue.priority == 0 or worker.entry.worker not in spared)
         ]
         sound = [worker for worker in allowed if not worker.suspect(now)]
@@ -446,15 +446,15 @@
         step, job = unit.step, unit.step.job
         unit.last_run += 1
         step.waiting.pop(unit.index, None)
-        self._kept.release(unit)
+        self._books.kept.release(unit)
         demand = step.step.booked
-        permissions = self._permissions_of(step)
+        permissions = self._books.permissions_of(step)
         for index, worker in members.items():
             name = worker.entry.worker
             run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
             unit.runs[index] = run
             worker.add_run(run)
-            self._orders.append(
+            self._books.orders.append(
                 StartOrder(
                     name,
                     run.task,
@@ -470,7 +470,7 @@
         log(
             events.UNIT_STARTED,
             request_id=job.request.job,
-            task=_text(unit.task(unit.task_indexes[0])),
+            task=task_text(unit.task(unit.task_indexes[0])),
             run=unit.last_run,
             workers=[worker.entry.worker for worker in members.values()],
             waited_s=round(now - unit.waiting_since, 3),
@@ -482,9 +482,9 @@
 
         :returns: whether room is being made for the unit
         """
-        if self._kept.awaits_room(unit, now):
+        if self._books.kept.awaits_room(unit, now):
             return True
-        self._kept.release(unit)
+        self._books.kept.release(unit)
         waited_s = now - unit.waiting_since
         if (
             unit.step.job.queue.priority != 0
@@ -492,252 +492,29 @@
             or not self._guarantees.covers(unit)
         ):
             return False
-        candidates = [each for each in workers if self._kept.allows(each, unit)]
+        candidates = [each for each in workers if self._books.kept.allows(each, unit)]
         eviction = find_eviction(
             unit, candidates, self._guarantees.allows_eviction, now
         )
         if eviction is None:
             return False
-        self._kept.keep(eviction.workers, unit, now)
+        self._books.kept.keep(eviction.workers, unit, now)
         self._guarantees.claim(unit)
         for victim in eviction.units:
             for run in victim.runs.values():
-                self._order_stop(run)
+                self._books.order_stop(run)
         log(
             events.UNITS_EVICTED,
             request_id=unit.step.job.request.job,
-            task=_text(unit.task(unit.task_indexes[0])),
-            evicted=[_text(each.task(each.task_indexes[0])) for each in eviction.units],
+            task=task_text(unit.task(unit.task_indexes[0])),
+            evicted=[
+                task_text(each.task(each.task_indexes[0])) for each in eviction.units
+            ],
             lost_core_s=round(eviction.cost, 1),
             waited_s=round(waited_s, 3),
         )
         return True
 
-    # Bookkeeping.
-
-    def _open_steps(self, job: JobBook, now: float) -> None:
-        for (occurrence, index), step in job.steps.items():
-            key = (job.request.job, occurrence, index)
-            if key in self._ready or not step.undone or not step.ready:
-                continue
-            self._ready[key] = step
-            for unit in step.waiting.values():
-                unit.waiting_since = max(unit.waiting_since, min(now, job.arrived_at))
-
-    def _finish(self, job: JobBook, state: JobState, unix_s: float) -> None:
-        job.state = state
-        job.finished_s = unix_s
-        name = job.request.job
-        self.dirty.add(name)
-        log(events.JOB_ENDED, request_id=name, state=str(state))
-        for unit in job.units:
-            if not unit.done:
-                for run in unit.runs.values():
-                    self._order_stop(run)
-        for occurrence, index in job.steps:
-            self._ready.pop((name, occurrence, index), None)
-            self._permissions.pop((name, occurrence, index), None)
-        self._kept.release_job(job)
-
-    def _take_end(
-        self, worker: Worker, ended: EndedTask, now: float, unix_s: float
-    ) -> None:
-        if ended.sequence <= worker.last_end:
-            return
-        worker.last_end = ended.sequence
-        run = worker.runs.get((ended.task, ended.run))
-        log(
-            events.RUN_ENDED,
-            request_id=ended.task.job,
-            task=_text(ended.task),
-            run=ended.run,
-            worker=worker.entry.worker,
-            how=str(ended.how),
-            sequence=ended.sequence,
-            known=run is not None,
-        )
-        if run is not None:
-            self._run_ended(worker, run, ended.how, ended.saved, now, unix_s)
-            return
-        job = self.jobs.get(ended.task.job)
-        unit = job.find_unit(ended.task) if job else None
-        if job is None or unit is None or unit.done or job.finished:
-            return
-        unit.last_run = max(unit.last_run, ended.run)
-        same_run = all(run.number == ended.run for run in unit.runs.values())
-        if same_run or ended.how is EndKind.FAILED:
-            self._settle(unit, ended.run, ended.how, ended.saved, now, unix_s)
-
-    def _run_ended(
-        self,
-        worker: Worker,
-        run: Run,
-        how: EndKind,
-        saved: str,
-        now: float,
-        unix_s: float,
-    ) -> None:
-        """Release a run that is gone and draw the consequences for its unit."""
-        worker.drop_run(run)
-        if how is EndKind.DONE:
-            worker.note_success()
-        elif how is EndKind.FAILED:
-            worker.note_failure(now)
-        unit = run.unit
-        if unit is None:
-            return
-        if unit.runs.get(run.task.ordinal) is run:
-            del unit.runs[run.task.ordinal]
-        if not unit.step.job.finished:
-            self._settle(unit, run.number, how, saved or run.saved, now, unix_s)
-
-    def _settle(
-        self,
-        unit: Unit,
-        number: int,
-        how: EndKind,
-        saved: str,
-        now: float,
-        unix_s: float,
-    ) -> None:
-        """Apply the end of one of a unit's runs."""
-        step, job = unit.step, unit.step.job
-        if unit.done:
-            return
-        self.dirty.add(job.request.job)
-        if not job.begun:
-            job.state = JobState.RUNNING
-        if how is EndKind.DONE and not step.step.lasting:
-            self._complete(unit, now, unix_s)
-            return
-        if saved and number == unit.last_run:
-            unit.saved = saved
-        if how is EndKind.FAILED and not step.step.lasting:
-            unit.failed_runs.add(number)
-            if unit.attempts_left <= 0:
-                self._finish(job, JobState.FAILED, unix_s)
-                return
-        for run in unit.runs.values():
-            if run.number == number:
-                self._order_stop(run)
-        self._wait_again(unit, now)
-
-    def _complete(self, unit: Unit, now: float, unix_s: float) -> None:
-        step, job = unit.step, unit.step.job
-        step.mark_done(unit)
-        if job.complete:
-            self._finish(job, JobState.COMPLETED, unix_s)
-        elif not step.undone:
-            self._open_steps(job, now)
-
-    def _wait_again(self, unit: Unit, now: float) -> None:
-        """Queue a unit whose last run is gone."""
-        if not unit.runs:
-            unit.waiting_since = now
-            unit.step.waiting[unit.index] = unit
-
-    def _take_running(self, worker: Worker, running: RunningTask, now: float) -> None:
-        run = worker.runs.get((running.task, running.run))
-        if run is None:
-            run = self._adopt(worker, running, now)
-        if run.state is RunState.ORDERED:
-            run.state = RunState.RUNNING
-        if run.state is RunState.RUNNING and run.settled_at is None:
-            run.settled_at = now
-        if running.percent != run.percent:
-            run.percent = running.percent
-            run.advanced_at = now
-            if run.state is RunState.RUNNING:
-                observe(worker, run, now)
-        if running.saved:
-            run.saved = running.saved
-
-    def _adopt(self, worker: Worker, running: RunningTask, now: float) -> Run:
-        """Book a run that this planner has not ordered; stop it if unneeded."""
-        job = self.jobs.get(running.task.job)
-        unit = job.find_unit(running.task) if job else None
-        # What is stopped still takes its room; an unknown job's task may take all.
-        demand = job.demand_of(running.task) if job else None
-        needed = (
-            job is not None
-            and not job.finished
-            and unit is not None
-            and not unit.done
-            and running.run >= unit.last_run
-            and all(run.number == running.run for run in unit.runs.values())
-            and running.task.ordinal not in unit.runs
-        )
-        run = Run(
-            running.task,
-            running.run,
-            worker.entry.capacity if demand is None else demand,
-            worker.entry.worker,
-            unit if needed else None,
-            now,
-        )
-        run.settled_at = now
-        worker.add_run(run)
-        log(
-            events.RUN_ADOPTED,
-            request_id=running.task.job,
-            task=_text(running.task),
-            run=running.run,
-            worker=worker.entry.worker,
-            needed=needed,
-        )
-        if not needed or unit is None or job is None:
-            self._order_stop(run)
-            return run
-        run.state = RunState.RUNNING
-        unit.runs[running.task.ordinal] = run
-        unit.last_run = running.run
-        # A gang's unseen members may be on a worker that cannot be asked.
-        unit.adopted = len(unit.runs) == len(unit.task_indexes)
-        unit.step.waiting.pop(unit.index, None)
-        if not job.begun:
-            job.state = JobState.RUNNING
-        self.dirty.add(running.task.job)
-        return run
-
-    def _order_stop(self, run: Run) -> None:
-        if run.state is RunState.STOPPING:
-            return
-        run.state = RunState.STOPPING
-        run.settled_at = None
-        self._orders.append(StopOrder(run.worker, run.task, run.number))
-
-    def _stop_others(self, run: Run) -> None:
-        """Stop the other members of a gang that cannot come together."""
-        if run.unit is None:
-            return
-        for other in run.unit.runs.values():
-            if other is not run:
-                self._order_stop(other)
-
-    def _check_stall(self, worker: Worker, run: Run, now: float) -> None:
-        unit = run.unit
-        if (
-            run.state is not RunState.RUNNING
-            or unit is None
-            or unit.step.step.lasting
-            # A gang's faster members wait for the others with their work done.
-            or run.percent >= ALL_DONE_PERCENT
-            or now - run.advanced_at < STALL_S
-            or now - worker.answered_at > 1.0
-        ):
-            return
-        log(
-            events.RUN_STALLED,
-            request_id=run.task.job,
-            task=_text(run.task),
-            run=run.number,
-            worker=run.worker,
-            percent=run.percent,
-        )
-        worker.note_failure(now)
-        for each in unit.runs.values():
-            self._order_stop(each)
-
 
 def _choose(
     unit: Unit, workers: list[Worker], anywhere: bool
@@ -746,7 +523,3 @@
         return place_gang(unit, workers)
     worker = place_task(unit, workers, anywhere=anywhere)
     return {unit.index: worker} if worker else None
-
-
-def _text(task: TaskName) -> str:
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.ordinal}"
