--- a/libs/planner/src/bilberryhitch_planner/session.py
+++ b/libs/planner/src/bilberryhitch_planner/session.py
@@ -147,7 +147,7 @@
                 return
             now = time.monotonic()
             limit = min(now + LEASE_S, self._journal.lease_limit)
-            outcome = await self._calls.start(
+            outcome = await self._calls.start_run(
                 worker.entry,
                 order,
                 token=self._token,
@@ -171,7 +171,7 @@
             worker = self._planner.workers.get(self._name)
             if worker is None or (order.task, order.run) not in worker.runs:
                 return
-            outcome = await self._calls.stop(worker.entry, order, token=self._token)
+            outcome = await self._calls.stop_run(worker.entry, order, token=self._token)
             now = time.monotonic()
             if outcome is StopOutcome.FENCED:
                 raise WorkerFenced(self._name)
--- a/libs/planner/src/bilberryhitch_planner/worker_calls.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_calls.py
@@ -15,7 +15,7 @@
 class WorkerCalls(Protocol):
     """Calls to one worker at a time; times are in seconds."""
 
-    async def start(
+    async def start_run(
         self,
         worker: WorkerEntry,
         order: StartOrder,
@@ -25,7 +25,7 @@
     ) -> StartOutcome:
         """Start a run under a lease that ends on the worker's clock."""
 
-    async def stop(
+    async def stop_run(
         self, worker: WorkerEntry, order: StopOrder, *, token: int
     ) -> StopOutcome:
         """Stop a run and bar its number."""
