Let rack-bound gangs wait for their rack; use room that was made across racks

Found by reading: workers spared for urgent work made a rack look too small, so that a wide gang ran across racks; room made across racks for a guaranteed gang was never used; a rack-bound gang waited while half of the pool was idle in pieces.

--- a/libs/planner/src/bilberryhitch_planner/placement.py
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -68,29 +68,41 @@
     return not step.required_label or step.required_label in worker.entry.labels
 
 
-def place_gang(unit: Unit, workers: Sequence[Worker]) -> dict[int, Worker] | None:
+def place_gang(
+    unit: Unit, workers: Sequence[Worker], pool: Sequence[Worker], *, anywhere: bool
+) -> dict[int, Worker] | None:
     """Return a worker for each task of a gang, or None if there is no room.
 
     A gang that is bound to a rack waits for one, unless no rack could ever hold it.
+
+    :param workers: workers that the gang may use now
+    :param pool: workers that it may use at some time
+    :param anywhere: more than one rack will do if no single one has room
     """
     step = unit.step.step
-    racks = _racks(workers)
-    choices: list[list[Worker]] = []
-    if step.data_rack and _could_hold(racks.get(step.data_rack, ()), step):
-        choices = [racks[step.data_rack]]
-    elif step.same_rack or step.data_rack:
-        choices = [rack for rack in racks.values() if _could_hold(rack, step)]
     order = _fastest if unit.step.job.queue.priority == 0 else _tightness
-    best = min(
-        filter(None, (_fill(rack, step, order) for rack in choices or [list(workers)])),
-        key=lambda option: option[0],
-        default=None,
-    )
-    if best is None:
+    racks = _bound_racks(step, pool)
+    by_rack = _racks(workers)
+    groups = [by_rack.get(rack, []) for rack in racks] if racks else [list(workers)]
+    filled = [found for group in groups if (found := _fill(group, step, order))]
+    if not filled and anywhere and racks:
+        filled = [found] if (found := _fill(list(workers), step, order)) else []
+    if not filled:
         return None
+    best = min(filled, key=lambda option: option[0])
     return dict(zip(unit.task_indexes, best[1], strict=True))
 
 
+def _bound_racks(step: Step, pool: Sequence[Worker]) -> list[str]:
+    """Return the racks one of which a gang should be on; none if it is free."""
+    racks = _racks(pool)
+    if step.data_rack and _could_hold(racks.get(step.data_rack, ()), step):
+        return [step.data_rack]
+    if not step.same_rack and not step.data_rack:
+        return []
+    return [name for name, rack in racks.items() if _could_hold(rack, step)]
+
+
 def place_task(
     unit: Unit, workers: Iterable[Worker], *, anywhere: bool
 ) -> Worker | None:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -415,6 +415,7 @@
         self, unit: Unit, workers: list[Worker], anywhere: bool, now: float
     ) -> dict[int, Worker] | None:
         """Choose workers, those whose last run failed only if there is no other."""
+        anywhere = anywhere or unit.across_racks
         job = unit.step.job
         spared = self._headroom.get(job.queue.service, frozenset())
         allowed = [
@@ -424,17 +425,22 @@
             and (job.queue.priority == 0 or worker.entry.worker not in spared)
         ]
         sound = [worker for worker in allowed if not worker.suspect(now)]
-        members = _choose(unit, sound, anywhere)
+        members = _choose(unit, sound, workers, anywhere)
         last_attempt = unit.attempts_left <= 1 and unit.failed_runs
         if members is None and len(sound) < len(allowed):
             if last_attempt and now - unit.waiting_since < SUSPECT_WAIT_S:
                 return None
-            members = _choose(unit, allowed, anywhere)
+            members = _choose(unit, allowed, workers, anywhere)
         return members
 
     def _data_may_move(self, step: StepBook, workers: list[Worker], now: float) -> bool:
-        rack = step.step.data_rack
-        if not rack or all(worker.entry.rack != rack for worker in workers):
+        """Return whether tasks may run away from their data or from each other."""
+        terms = step.step
+        if not terms.data_rack and not terms.same_rack:
+            return True
+        if terms.data_rack and all(
+            worker.entry.rack != terms.data_rack for worker in workers
+        ):
             return True
         waiting_since = min(unit.waiting_since for unit in step.waiting.values())
         if now - waiting_since < AWAY_AFTER_S:
@@ -499,6 +505,7 @@
         if eviction is None:
             return False
         self._books.kept.keep(eviction.workers, unit, now)
+        unit.across_racks = eviction.across_racks
         self._guarantees.claim(unit)
         for victim in eviction.units:
             for run in victim.runs.values():
@@ -517,9 +524,9 @@
 
 
 def _choose(
-    unit: Unit, workers: list[Worker], anywhere: bool
+    unit: Unit, workers: list[Worker], pool: list[Worker], anywhere: bool
 ) -> dict[int, Worker] | None:
     if unit.step.step.gang:
-        return place_gang(unit, workers)
+        return place_gang(unit, workers, pool, anywhere=anywhere)
     worker = place_task(unit, workers, anywhere=anywhere)
     return {unit.index: worker} if worker else None
--- a/libs/planner/src/bilberryhitch_planner/reclaim.py
+++ b/libs/planner/src/bilberryhitch_planner/reclaim.py
@@ -24,11 +24,13 @@
     :param units: what is stopped
     :param workers: where the room arises, kept for the unit that needs it
     :param cost: core-seconds of work thrown away
+    :param across_racks: no rack that the unit is bound to can be cleared
     """
 
     units: tuple[Unit, ...]
     workers: tuple[str, ...]
     cost: float
+    across_racks: bool = False
 
 
 class KeptRoom:
@@ -85,6 +87,8 @@
         eviction = choose_eviction(step, missing, groups, evictable, now)
         if eviction is not None:
             return eviction
+        eviction = choose_eviction(step, missing, [workers], evictable, now)
+        return eviction and eviction._replace(across_racks=True)
     return choose_eviction(step, missing, [workers], evictable, now)
 
 
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -27,12 +27,14 @@
 
     :ivar index: of the task in its step, or ``GANG``
     :ivar runs: runs that may exist, by index of the task
+    :ivar across_racks: its guarantee can only be met away from its rack
     :ivar adopted: its latest run is known although an earlier planner began it
     :ivar retry_at: steady time before which it is not started again
     :ivar waiting_since: steady time from which it could have run
     """
 
     __slots__ = (
+        "across_racks",
         "adopted",
         "done",
         "failed_runs",
@@ -53,6 +55,7 @@
         self.failed_runs = set(progress.failed_runs)
         self.saved = progress.saved
         self.runs: dict[int, Run] = {}
+        self.across_racks = False
         self.adopted = False
         self.retry_at = 0.0
         self.waiting_since = step.job.arrived_at
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -633,3 +633,61 @@
     world.now = 0.5
     assert world.starts() == []
     assert world.planner.questions[-1].workers == ("w2",)
+
+
+def test_a_rack_bound_gang_waits_for_its_rack_while_idle_workers_are_spared():
+    """Load: a wide gang in a busy pool. Workers spared for urgent work made its rack
+    look too small, so that it ran across racks at a third of its speed.
+    """
+    workers = [entry(f"w{number}", f"r{number // 4}") for number in range(16)]
+    world = World(*workers)
+    for each in workers:
+        world.report(each.worker)
+    batch = queue("batch", 2)
+    world.add(request("fill", step(12, gpu=8), route=batch))
+    for order in world.starts():
+        world.answer(order)
+    world.add(request("wide", step(4, gpu=8, gang=True, same_rack=True), route=batch))
+    assert world.starts() == []
+
+
+def test_a_rack_bound_gang_takes_two_racks_when_half_of_the_pool_is_idle():
+    """Guards against LOST: room for it twice over, and nothing of it runs."""
+    workers = [entry(f"w{number}", f"r{number // 4}") for number in range(16)]
+    world = World(*workers)
+    for each in workers:
+        world.report(each.worker)
+    pinned = [step(gpu=1)._replace(data_rack=f"r{rack}") for rack in range(4)]
+    world.add(request("small", *pinned))
+    for order in world.starts():
+        world.answer(order)
+    world.add(request("wide", step(4, gpu=8, gang=True, same_rack=True)))
+    assert world.starts() == []
+    world.now = 1.6
+    world.report_all()
+    assert len(world.starts()) == 4
+
+
+def test_a_guaranteed_gang_takes_two_racks_when_none_can_be_cleared():
+    """Guards against RECLAIM: room made across racks was never used."""
+    workers = [entry(f"w{number}", f"r{number // 2}") for number in range(4)]
+    world = World(*workers, guaranteed=16)
+    for each in workers:
+        world.report(each.worker)
+    lasting = [
+        step(gpu=8, lasting=True)._replace(data_rack=f"r{rack}") for rack in (0, 1)
+    ]
+    world.add(request("lasting", *lasting, route=queue("batch", 2), account="b"))
+    world.add(request("batch", step(2, gpu=8), route=queue("batch", 2), account="b"))
+    orders = world.starts()
+    assert len(orders) == 4
+    for order in orders:
+        world.answer(order)
+    world.add(request("urgent", step(2, gpu=8, gang=True, same_rack=True)))
+    world.now = 0.1
+    stops = world.plan()
+    assert {stop.task.job for stop in stops} == {"batch"}
+    for sequence, stop in enumerate(stops, 1):
+        end = EndedTask(sequence, stop.task, stop.run, EndKind.STOPPED)
+        world.report(stop.worker, ended=[end])
+    assert [order.task.job for order in world.starts()][:2] == ["urgent", "urgent"]
