--- a/libs/app/src/bilberryhitch/standin_command.py
+++ b/libs/app/src/bilberryhitch/standin_command.py
@@ -36,6 +36,8 @@
 async def _run(arguments: argparse.Namespace) -> ExitCode:
     host = _host_row(arguments)
     server = _make_standin(arguments, host)
+    # Whoever reads the address may stop the process at once.
+    stop = catch_stop_signals()
     address = await server.start()
     try:
         if arguments.platform and arguments.kind != "platform":
@@ -45,7 +47,7 @@
             )
         sys.stdout.write(f"listening on {address.ip}:{address.port}\n")
         sys.stdout.flush()
-        await wait_for_stop_signal()
+        await stop.wait()
     finally:
         await server.close()
     return ExitCode.OK
@@ -94,10 +96,10 @@
         response.raise_for_status()
 
 
-async def wait_for_stop_signal() -> None:
-    """Return when the process is asked to stop."""
+def catch_stop_signals() -> asyncio.Event:
+    """Return an event that is set when the process is asked to stop."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await stop.wait()
+    return stop
