Carry out the operator's waves of upkeep

They were not built: a deployment that asks for one would have been told nothing and every machine of it would have been late. Orders are written ahead, counted until the machine is back, repeated until they are certain, and held back from machines whose lasting tasks cannot be missed. The first test of lost answers found that a repeated order took the new worker for the one that had ended.

--- a/libs/planner/src/bilberryhitch_planner/__init__.py
+++ b/libs/planner/src/bilberryhitch_planner/__init__.py
@@ -23,6 +23,7 @@
     WorkerEntry,
 )
 from .tenure import Campaign, Tenure
+from .upkeep import Machine, UpkeepCalls, UpkeepOutcome, Wave
 from .worker_calls import WorkerCalls
 
 __all__ = [
@@ -35,6 +36,7 @@
     "EndedTask",
     "HoldReport",
     "Lead",
+    "Machine",
     "MachinesUnknown",
     "Planner",
     "RunningTask",
@@ -43,6 +45,9 @@
     "StopOrder",
     "StopOutcome",
     "Tenure",
+    "UpkeepCalls",
+    "UpkeepOutcome",
+    "Wave",
     "WorkerCalls",
     "WorkerEntry",
     "WorkerFenced",
--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -44,6 +44,7 @@
     LEASE_KEY,
     LEASE_TABLE,
     RENEWAL_S,
+    SILENCE_S,
     WORKER_LEASE_HORIZON_S,
     LeaseRow,
     Tenure,
@@ -125,6 +126,7 @@
         self._in_flight = False
         self._summary = b""
         self._summary_at = float("-inf")
+        self._notes: dict[tuple[str, str], Write] = {}
         # Jobs whose requests are removed and whose progress is to follow.
         self._orphans: set[str] = set()
         self._changed = asyncio.Event()
@@ -135,11 +137,16 @@
         """Steady time beyond which no lease on a worker may be extended."""
         return self._confirmed_at + WORKER_LEASE_HORIZON_S
 
+    @property
+    def lease_fresh(self) -> bool:
+        """Whether no other host can have acquired the lease yet."""
+        return time.monotonic() - self._confirmed_at < SILENCE_S / 2
+
     @property
     def _pending(self) -> bool:
         planner = self._planner
         return (
-            bool(planner.dirty)
+            bool(planner.dirty or self._notes)
             or planner.unconfirmed
             or planner.unrostered
             or self._uncertain
@@ -150,6 +157,11 @@
         if self._pending:
             self._changed.set()
 
+    def put(self, write: Write) -> None:
+        """Store a row of the planner's own soon; a later one of its key replaces it."""
+        self._notes[write.table, write.key] = write
+        self._changed.set()
+
     async def run(self) -> None:
         """Write until deposed.
 
@@ -169,9 +181,10 @@
 
         :returns: whether they are
         """
-        if not self._planner.dirty and not self._in_flight:
+        unsent = bool(self._planner.dirty or self._notes)
+        if not unsent and not self._in_flight:
             return True
-        target = self._begun + (1 if self._planner.dirty else 0)
+        target = self._begun + (1 if unsent else 0)
         self.notify()
         try:
             async with self._advanced:
@@ -234,7 +247,8 @@
         names = self._take_dirty()
         # Changes that did not fit are stored by a later transaction.
         whole = not self._planner.dirty
-        writes = self._progress_writes(names)
+        notes, self._notes = self._notes, {}
+        writes = self._progress_writes(names) + list(notes.values())
         renew = holder is not None or self._uncertain or self._renewal_due(now)
         if renew:
             writes.append(self._lease_write(holder))
@@ -254,10 +268,12 @@
             )
         except CommitConflict as conflict:
             self._planner.dirty |= names
+            self._notes = notes | self._notes
             self._resolve(conflict)
             return
         except (StoreRefused, StoreUnknown) as error:
             self._planner.dirty |= names
+            self._notes = notes | self._notes
             self._note_failure(error)
             await asyncio.sleep(PAUSE_S)
             return
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
 from bilberryhitch_jobs import (
@@ -11,6 +11,7 @@
     JobState,
     Row,
     Store,
+    Write,
     decode_request,
 )
 from bilberryhitch_jobs.acceptance import CANCEL_SUFFIX, JOB_PARTS, JOBS
@@ -24,6 +25,7 @@
 from .reports import Advice, AdviseOrder, WorkerEntry
 from .session import Session
 from .tenure import WORKER_LEASE_HORIZON_S, Tenure
+from .upkeep import Upkeep, UpkeepCalls, Wave
 from .worker_calls import WorkerCalls
 from .workers import CLOCK_DRIFT, LEASE_SLACK_S
 
@@ -50,8 +52,8 @@
 
     :param worker_table: table in which workers register themselves
     :param advise: asks the advice service; None if there is no usable answer
-    :param list_machines: returns the workers whose machines are up; raises
-        ``MachinesUnknown``
+    :param waves: returns the upkeep that the operator asks for
+    :param encode_wave: returns the row that tells the operator of a wave's state
     :param decode_worker: reads a registration; None for one that names no worker
     """
 
@@ -65,7 +67,9 @@
         decode_worker: Callable[[Row], WorkerEntry | None],
         configuration: Callable[[], Configuration | None],
         advise: Callable[[AdviseOrder], Awaitable[Advice | None]],
-        list_machines: Callable[[], Awaitable[frozenset[str]]],
+        machines: UpkeepCalls,
+        waves: Callable[[], Iterable[Wave]],
+        encode_wave: Callable[[int, bool], Write],
         keep_s: float,
     ) -> None:
         horizon = WORKER_LEASE_HORIZON_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
@@ -82,8 +86,18 @@
         self._calls = calls
         self._decode_worker = decode_worker
         self._configuration = configuration
-        self._list_machines = list_machines
+        self._machines = machines
         self._advise = advise
+        self._upkeep = Upkeep(
+            store,
+            self.planner,
+            self.journal,
+            machines,
+            token=tenure.token,
+            waves=waves,
+            encode_status=encode_wave,
+            on_change=self._changed,
+        )
         self._version = -1
         self._jobs = Follower(
             store, JOBS, self._load_jobs, self._take_job_row, parts=JOB_PARTS
@@ -109,6 +123,7 @@
             group.create_task(self._worker_rows.run())
             group.create_task(self._plan())
             group.create_task(self.journal.sweep())
+            group.create_task(self._upkeep.run())
             group.create_task(self._look_for_gone())
 
     async def _inherit(self) -> None:
@@ -164,10 +179,11 @@
             if not silent:
                 continue
             try:
-                present = await self._list_machines()
+                machines = await self._machines.list_machines()
             except MachinesUnknown as error:
                 log(events.MACHINES_UNKNOWN, error=error, silent=len(silent))
                 continue
+            present = {machine.worker for machine in machines if machine.up}
             for name in silent:
                 if name not in present:
                     now = time.monotonic()
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -60,6 +60,7 @@
         started by an earlier planner
     :ivar rostered: workers that a later planner will ask before it starts anew
         what this one may have started
+    :ivar withheld: workers that get nothing new because they are about to go
     :param inherited_until: steady time at which all leases that an earlier
         planner granted have lapsed
     """
@@ -72,6 +73,7 @@
     ) -> None:
         self._books = Books()
         self.rostered: frozenset[str] = frozenset()
+        self.withheld: frozenset[str] = frozenset()
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
         self._confirmed_revision = inherited_revision
@@ -354,7 +356,8 @@
         """Place what can be placed and return the orders to send."""
         usable: dict[str, list[Worker]] = {}
         for worker in self.workers.values():
-            if worker.usable(now) and worker.entry.worker in self.rostered:
+            name = worker.entry.worker
+            if name in self.rostered - self.withheld and worker.usable(now):
                 usable.setdefault(worker.entry.service, []).append(worker)
         self._guarantees.count(self.workers.values())
         self._headroom = {
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -9,8 +9,8 @@
 CLOCK_DRIFT = 0.02
 # Covers timer granularity on both sides.
 LEASE_SLACK_S = 0.3
-# A look takes up to 1.2 s; a worker that misses one gets nothing new.
-SILENCE_S = 2.2
+# A look takes up to 0.6 s; a worker that misses two gets nothing new.
+SILENCE_S = 1.3
 # Failures in a row, of different runs, after which a worker gets nothing.
 QUARANTINE_FAILURES = 2
 # Disturbances that make a worker fail its runs last several seconds.
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -346,6 +346,8 @@
         world.now = look * 0.4
         world.report(sound.worker, running=[running(sound, look * 16)])
         world.report(hung.worker, running=[running(hung, 5)])
+        for idle in {"w1", "w2", "w3", "w4"} - {sound.worker, hung.worker}:
+            world.report(idle)
         orders = world.plan()
     assert {order.worker for order in orders} == {sound.worker, hung.worker}
     for order in (sound, hung):
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -312,6 +312,13 @@
     "WARNING",
     "The list of machines could not be read; silent workers are waited for.",
 )
+WAVE_BEGUN = Event(
+    3207, "wave_begun", "INFO", "The operator asked for the upkeep of some machines."
+)
+UPKEEP_ORDERED = Event(
+    3208, "upkeep_ordered", "INFO", "A machine was ordered down for its upkeep."
+)
+WAVE_DONE = Event(3209, "wave_done", "INFO", "Every machine of a wave had its upkeep.")
 PLANNER_LEASE_WON = Event(
     4221, "planner_lease_won", "INFO", "This host acquired the planner's lease."
 )
