Slow filling tasks down where serving tasks near their latency bound

Pacing was not built: on a deployment whose workers are shared, filling tasks would have kept serving tasks over their bound.

--- a/libs/planner/src/bilberryhitch_planner/books.py
+++ b/libs/planner/src/bilberryhitch_planner/books.py
@@ -183,6 +183,7 @@
             run.state = RunState.RUNNING
         if run.state is RunState.RUNNING and run.settled_at is None:
             run.settled_at = now
+        run.load = running.load
         if running.percent != run.percent:
             run.percent = running.percent
             run.advanced_at = now
@@ -215,6 +216,7 @@
             now,
         )
         run.settled_at = now
+        run.pace_known = False
         worker.add_run(run)
         log(
             events.RUN_ADOPTED,
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -35,6 +35,7 @@
 )
 from .reservations import Reservations
 from .runs import Run, RunState
+from .sharing import pace_orders
 from .speeds import recover
 from .units import JobBook, StepBook, Unit
 from .workers import Worker
@@ -243,6 +244,7 @@
         for running in report.running:
             listed.add((running.task, running.run))
             self._books.take_running(worker, running, now)
+        self._books.orders += pace_orders(worker, now)
         if len(report.ended) < ENDS_PER_REPORT:
             for key, run in list(worker.runs.items()):
                 settled = run.settled_at is not None and run.settled_at < sent_at
--- a/libs/planner/src/bilberryhitch_planner/reports.py
+++ b/libs/planner/src/bilberryhitch_planner/reports.py
@@ -128,6 +128,18 @@
     run: int
 
 
+class PaceOrder(NamedTuple):
+    """The share of its processor time at which a run may work.
+
+    :param percent: 0 to 100
+    """
+
+    worker: str
+    task: TaskName
+    run: int
+    percent: int
+
+
 class AdviseOrder(NamedTuple):
     """A question to the advice service about one occurrence of a step."""
 
@@ -147,4 +159,4 @@
     valid_s: float
 
 
-Order = StartOrder | StopOrder
+Order = StartOrder | StopOrder | PaceOrder
--- a/libs/planner/src/bilberryhitch_planner/session.py
+++ b/libs/planner/src/bilberryhitch_planner/session.py
@@ -6,18 +6,21 @@
 
 from bilberryhitch_telemetry import events, log
 
+from .books import task_text
 from .errors import WorkerFenced, WorkerGone, WorkerUnreachable
 from .journal import Journal
 from .planner import Planner
 from .reports import (
     HoldReport,
     Order,
+    PaceOrder,
     StartOrder,
     StartOutcome,
     StopOrder,
     StopOutcome,
 )
 from .runs import RunState
+from .sharing import shares_processor
 from .tenure import Tenure
 from .worker_calls import WorkerCalls
 
@@ -28,6 +31,8 @@
 # checkpoints are read and progress is seen. A run that stands still is noticed after
 # three of them, and an urgent one has little more than a second of slack.
 LOOK_S = 0.6
+# Tasks that serve must not be over their bound for seconds because of others.
+SHARED_LOOK_S = 0.4
 PAUSE_S = 0.2
 # Ends that are not stored yet are not acknowledged; the listing goes on.
 SETTLE_S = 0.4
@@ -97,7 +102,9 @@
                 unix_s=time.time(),
             )
             self._on_change()
-            wait_s = LOOK_S
+            worker = self._planner.workers.get(self._name)
+            shared = worker is not None and shares_processor(worker)
+            wait_s = SHARED_LOOK_S if shared else LOOK_S
             if report.ended and not await self._acknowledge(report):
                 wait_s = 0.0
                 await asyncio.sleep(PAUSE_S)
@@ -109,6 +116,8 @@
         """
         if isinstance(order, StartOrder):
             await self._send_start(order)
+        elif isinstance(order, PaceOrder):
+            await self._send_pace(order)
         else:
             await self._send_stop(order)
         self._on_change()
@@ -184,6 +193,21 @@
                 return
             await asyncio.sleep(PAUSE_S)
 
+    async def _send_pace(self, order: PaceOrder) -> None:
+        """Send once; the pace is ordered again while it matters."""
+        worker = self._planner.workers.get(self._name)
+        if worker is None or (order.task, order.run) not in worker.runs:
+            return
+        taken = await self._calls.pace_run(worker.entry, order, token=self._token)
+        log(
+            events.RUN_PACED,
+            request_id=order.task.job,
+            task=task_text(order.task),
+            worker=self._name,
+            percent=order.percent,
+            taken=taken,
+        )
+
     def _note_loss(self, error: WorkerUnreachable) -> None:
         if not self._lost:
             self._lost = True
--- a/libs/planner/src/bilberryhitch_planner/worker_calls.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_calls.py
@@ -4,6 +4,7 @@
 
 from .reports import (
     HoldReport,
+    PaceOrder,
     StartOrder,
     StartOutcome,
     StopOrder,
@@ -30,6 +31,11 @@
     ) -> StopOutcome:
         """Stop a run and bar its number."""
 
+    async def pace_run(
+        self, worker: WorkerEntry, order: PaceOrder, *, token: int
+    ) -> bool:
+        """Set a run's pace and return whether the worker took the order."""
+
     async def hold(
         self,
         worker: WorkerEntry,
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -346,6 +346,9 @@
 RUN_STALLED = Event(
     4214, "run_stalled", "WARNING", "A run shows no progress and is stopped."
 )
+RUN_PACED = Event(
+    4219, "run_paced", "INFO", "The pace of a task that fills was changed."
+)
 START_NOT_DONE = Event(
     4215, "start_not_done", "WARNING", "A worker did not confirm a start."
 )
