--- /dev/null
+++ b/tests/adapter/test_machines.py
@@ -0,0 +1,132 @@
+"""The clients of the machines' interface and of workers, against a listener."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+from aiohttp import web
+from bilberryhitch_adapter.decoding import decode_wave, encode_wave
+from bilberryhitch_adapter.machines import MachineClient
+from bilberryhitch_adapter.workers import WorkerClient
+from bilberryhitch_adapter_standins import Listener
+from bilberryhitch_jobs import Demand, TaskName
+from bilberryhitch_model.errors import BadInput
+from bilberryhitch_planner import (
+    Machine,
+    MachinesUnknown,
+    PaceOrder,
+    UpkeepOutcome,
+    Wave,
+    WorkerEntry,
+)
+
+
+def answering(*answers):
+    """Return a handler that gives the answers in turn and a list of the requests."""
+    seen = []
+
+    async def handle(request):
+        seen.append((request.path_qs, dict(request.headers), await request.read()))
+        status, body = answers[min(len(seen), len(answers)) - 1]
+        return web.Response(status=status, body=msgspec.json.encode(body))
+
+    return handle, seen
+
+
+def talk(scene, *answers):
+    """Run a scene with a client and return its result and the requests."""
+
+    async def run():
+        handle, seen = answering(*answers)
+        listener = Listener(handle, random.Random(1))
+        await listener.start()
+        client = MachineClient(lambda: listener.address, "host-1")
+        await client.start()
+        try:
+            return await scene(client), seen
+        finally:
+            await client.close()
+            await listener.close()
+
+    return asyncio.run(run())
+
+
+def test_the_list_of_machines_is_read_page_by_page():
+    machine = {"machine": "m-1", "pool": "p", "state": "up", "id": "i-1"}
+    pages = (
+        (200, {"machines": [machine], "next-token": "t 2"}),
+        (200, {"machines": [{**machine, "state": "upkeep"}], "next-token": None}),
+    )
+    machines, seen = talk(lambda client: client.list_machines(), *pages)
+    assert machines == (Machine("m-1", "i-1", True), Machine("m-1", "i-1", False))
+    assert seen[1][0].endswith("?page-token=t+2")
+
+
+def test_half_a_list_is_no_list():
+    """Guards against workers taken for gone because a page was missing."""
+    pages = ((200, {"machines": [], "next-token": "2"}), (429, {}))
+    with pytest.raises(MachinesUnknown):
+        talk(lambda client: client.list_machines(), *pages)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "outcome"),
+    [
+        (200, {}, UpkeepOutcome.BEGUN),
+        (400, {}, UpkeepOutcome.NOT_OF_WAVE),
+        (409, {"reason": "busy"}, UpkeepOutcome.BUSY),
+        (409, {"reason": "wave"}, UpkeepOutcome.NOT_OF_WAVE),
+        (409, {"reason": "fence"}, UpkeepOutcome.FENCED),
+        (409, ["?"], UpkeepOutcome.UNKNOWN),
+        (429, {}, UpkeepOutcome.UNKNOWN),
+        (503, {}, UpkeepOutcome.UNKNOWN),
+    ],
+)
+def test_answers_to_an_order_of_upkeep(status, body, outcome):
+    found, seen = talk(
+        lambda client: client.begin_upkeep("m-1", 3, token=12), (status, body)
+    )
+    assert found is outcome
+    _, headers, sent = seen[0]
+    assert (headers["Lease-Holder"], headers["Fencing-Token"]) == ("host-1", "12")
+    assert msgspec.json.decode(sent) == {"machine": "m-1", "wave": 3}
+
+
+def test_a_wave_is_read_and_its_state_written():
+    plain = {"wave": 2, "machines": ["m-1"], "duration-s": 20, "max-count": 1}
+    assert decode_wave(msgspec.json.encode(plain)) == Wave(
+        2, frozenset({"m-1"}), 20.0, 1
+    )
+    assert encode_wave(2, False).key == "wave/2"
+    assert msgspec.json.decode(encode_wave(2, True).value) == {"state": "completed"}
+    with pytest.raises(BadInput):
+        decode_wave(b'{"wave": "two"}')
+
+
+@pytest.mark.parametrize(("status", "taken"), [(200, True), (409, False)])
+def test_the_pace_of_a_run_is_set(status, taken):
+    async def run():
+        handle, seen = answering((status, {"clock-ms": 1}))
+        listener = Listener(handle, random.Random(1))
+        await listener.start()
+        client = WorkerClient()
+        await client.start()
+        worker = WorkerEntry("i-1", "p", listener.address, "dc", Demand(), set(), "r")
+        order = PaceOrder("i-1", TaskName("0" * 16, 0, 1, 2), 3, 40)
+        try:
+            assert await client.pace_run(worker, order, token=7) is taken
+        finally:
+            await client.close()
+            await listener.close()
+        path, headers, body = seen[0]
+        assert path == "/bilberryhitch/pace"
+        assert headers["Target-Instance"] == "i-1"
+        assert msgspec.json.decode(body) == {
+            "task": "0" * 16 + ".0.1.2",
+            "run": 3,
+            "percent": 40,
+            "fencing-token": 7,
+        }
+
+    asyncio.run(run())
