--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -50,6 +50,9 @@
 # Data on another rack is fetched after this wait while half of the room is idle.
 AWAY_AFTER_S = 1.5
 IDLE_SHARE = 0.5
+# A worker that starts again at an address this soon after another ended there may
+# be going down and up by turns.
+CRASH_MEMORY_S = 8.0
 # Workers list at most this many ends in an answer.
 ENDS_PER_REPORT = 500
 
@@ -82,6 +85,8 @@
         self._queues: dict[str, Queue] = {}
         self._guarantees = Guarantees()
         self._headroom: dict[str, frozenset[str]] = {}
+        # When a worker ended at an address, and its failures until then.
+        self._ended_at: dict[str, tuple[float, int]] = {}
         self._reserved = Reservations(0.0)
         self.questions: list[AdviseOrder] = []
 
@@ -190,6 +195,10 @@
             worker = Worker(entry, now)
             worker.lease_until = max(now, self._inherited_until)
             self.workers[entry.worker] = worker
+            ended_at, failures = self._ended_at.pop(entry.address, (-CRASH_MEMORY_S, 0))
+            if now - ended_at < CRASH_MEMORY_S:
+                worker.failures = failures
+                worker.note_failure(now)
         worker.listed = True
         worker.update_entry(entry)
         return worker
@@ -209,6 +218,12 @@
         if worker is None:
             return
         log(events.WORKER_GONE, worker=name, runs=len(worker.runs))
+        self._ended_at = {
+            address: ended
+            for address, ended in self._ended_at.items()
+            if now - ended[0] < CRASH_MEMORY_S
+        }
+        self._ended_at[worker.entry.address] = (now, worker.failures)
         for run in list(worker.runs.values()):
             self._books.run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
 
@@ -233,6 +248,7 @@
             for run in list(worker.runs.values()):
                 self._books.run_ended(worker, run, EndKind.LAPSED, "", now, unix_s)
             worker.last_end = 0
+            worker.note_failure(now)
         worker.born_ms = report.born_ms
         worker.set_clock(report.clock_s, now)
         if not worker.synced:
--- a/libs/planner/src/bilberryhitch_planner/reservations.py
+++ b/libs/planner/src/bilberryhitch_planner/reservations.py
@@ -16,13 +16,13 @@
 from .units import Unit
 from .workers import Worker
 
-# Workers that wait for a gang do nothing else at last; beyond this share of a pool
-# the idle time would cost more than the gangs gain.
-MOST_RESERVED_SHARE = 0.4
+# Workers that wait for a gang do nothing else at last; the rest of a pool goes on
+# with short work. Trials with the emulator: journal/trials.
+MOST_RESERVED_SHARE = 0.75
 # Expected ends differ by about this much from one look to the next.
 SWITCH_GAIN_S = 1.0
 # Gangs considered in one round, which bounds its processor time.
-MOST_GANGS = 6
+MOST_GANGS = 14
 # Progress below this says too little of a run's length; its estimate is used.
 LEAST_PERCENT = 5.0
 # A stop takes less than this, whatever the run had left.
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -357,6 +357,29 @@
     assert hung.worker not in {order.worker for order in again}
 
 
+def test_a_worker_that_goes_down_and_up_is_used_last():
+    """Load: workers that crash and start again every second (scale-1 of the grown
+    agency); each urgent gang with a member there had to start again.
+    """
+    flapping = entry("w1", address="ip:9")
+    world = World(flapping, entry("w2"))
+    world.report_all()
+    world.planner.worker_gone("w1", now=0.0, unix_s=UNIX)
+    world.now = 1.0
+    world.planner.add_worker(flapping._replace(worker="w1b"), now=world.now)
+    world.report("w1b")
+    world.report("w2")
+    world.add(request("j", step(gpu=1)))
+    (order,) = world.starts()
+    assert order.worker == "w2"
+    # Born again under its own name, within seconds: left alone for a while.
+    world.report("w1b", born=7)
+    world.report("w1b", born=8)
+    world.report("w2", running=[running(order)])
+    world.add(request("k", step(8, gpu=1)))
+    assert {order.worker for order in world.starts()} == {"w2"}
+
+
 def test_members_that_wait_for_slower_ones_are_not_taken_for_stalled():
     """Calm grown day: uneven gangs on workers of unlike speed were stopped close to
     their end, and four starts in a row threw away 20 workers' work.
