Notice the end of the planner's process at once

Candidates keep a connection to the planner's address; when it breaks and the port refuses, they acquire the lease, spread over 0.15 s. A reset alone proves nothing. Ruled out: shorter silence, which loses the lease whenever a write's answer is lost.

--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -325,6 +325,7 @@
             self._tenure.holder if holder is None else holder,
             self._tenure.token,
             self._renewal,
+            self._tenure.address,
         )
         return Write(LEASE_TABLE, LEASE_KEY, encode_lease(lease))
 
--- a/libs/planner/src/bilberryhitch_planner/tenure.py
+++ b/libs/planner/src/bilberryhitch_planner/tenure.py
@@ -6,14 +6,18 @@
 """
 
 import asyncio
+import random
 import time
-from typing import NamedTuple
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
 
 import msgspec
 from bilberryhitch_jobs import Expected, Row, Store, Write
 from bilberryhitch_jobs.errors import STORE_ERRORS, CommitConflict, HistoryLost
 from bilberryhitch_telemetry import events, log
 
+from .liveness import process_ended
+
 LEASE_TABLE = "planner"
 LEASE_KEY = "lease"
 RENEWAL_S = 0.4
@@ -21,6 +25,8 @@
 SILENCE_S = 1.7
 CALL_TIMEOUT_S = 0.8
 PAUSE_S = 0.2
+# Candidates that notice the holder's end at once spread their acquisitions over this.
+RUSH_S = 0.15
 # Leases on workers end at most this long after the last renewal that the store
 # is known to have taken; a successor waits for them where it cannot ask.
 WORKER_LEASE_HORIZON_S = 12.0
@@ -32,11 +38,13 @@
     :ivar holder: entry host and life of its process; empty after a release
     :ivar token: fencing token; 0 until the first renewal
     :ivar renewal: number of the renewal
+    :ivar address: ``ip:port`` on which the holder's process listens
     """
 
     holder: str
     token: int
     renewal: int
+    address: str = ""
 
 
 class Tenure(NamedTuple):
@@ -45,23 +53,37 @@
     :param token: fencing token, also the store's version at the acquisition
     :param acquired_at: steady time at which the acquisition was sent
     :param renewed_at: steady time at which the former holder was last heard of
+    :param address: ``ip:port`` on which the holder's process listens
     """
 
     holder: str
     token: int
     acquired_at: float
     renewed_at: float
+    address: str = ""
 
 
 class Campaign:
     """Waits for the lease to be free and acquires it.
 
     :param holder: unique name of this process's life: ``host/life``
+    :param address: ``ip:port`` on which this process listens
+    :param ended: returns when the process at an address has ended
     """
 
-    def __init__(self, store: Store, holder: str) -> None:
+    def __init__(
+        self,
+        store: Store,
+        holder: str,
+        address: str = "",
+        ended: Callable[[str], Coroutine[Any, Any, None]] = process_ended,
+    ) -> None:
         self._store = store
         self._holder = holder
+        self._address = address
+        self._ended = ended
+        self._probe: asyncio.Task[None] | None = None
+        self._probed = ""
         self._row: Row | None = None
         self._revision = 0
         self._changed_at = self._tried_at = time.monotonic()
@@ -69,6 +91,12 @@
     async def win(self) -> Tenure:
         """Return when this process holds the lease."""
         self._row, self._revision = None, 0
+        try:
+            return await self._run()
+        finally:
+            self._drop_probe()
+
+    async def _run(self) -> Tenure:
         known = False
         while True:
             try:
@@ -95,17 +123,53 @@
         if self._row is not None and lease.holder == self._holder:
             # An acquisition whose answer was lost.
             return self._tenure(self._row.revision)
-        if lease.holder and _host(lease.holder) != _host(self._holder):
-            changes = await self._store.watch(LEASE_TABLE, self._revision, SILENCE_S)
-            self._revision = max(self._revision, changes.revision)
-            rows = [row for row in changes.rows if row.key == LEASE_KEY]
-            if rows:
-                self._note(rows[-1])
-                return None
+        held = bool(lease.holder) and _host(lease.holder) != _host(self._holder)
+        if held and await self._wait_for_change(lease):
+            return None
         return await self._acquire(lease)
 
+    async def _wait_for_change(self, lease: LeaseRow) -> bool:
+        """Return whether the lease changed before its holder seemed to be gone."""
+        watch = asyncio.create_task(
+            self._store.watch(LEASE_TABLE, self._revision, SILENCE_S)
+        )
+        probe = self._probe_of(lease.address)
+        await asyncio.wait(
+            (watch, probe) if probe else (watch,), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not watch.done() and probe is not None:
+            self._drop_probe()
+            log(events.PLANNER_PROCESS_ENDED, holder=lease.holder)
+            # Other candidates notice in the same moment; one acquisition is enough.
+            await asyncio.wait((watch,), timeout=random.uniform(0.0, RUSH_S))
+        if not watch.done():
+            watch.cancel()
+            return False
+        changes = watch.result()
+        self._revision = max(self._revision, changes.revision)
+        rows = [row for row in changes.rows if row.key == LEASE_KEY]
+        if rows:
+            self._note(rows[-1])
+        return bool(rows)
+
+    def _probe_of(self, address: str) -> asyncio.Task[None] | None:
+        """Return the task that ends with the process at an address."""
+        if address != self._probed:
+            self._drop_probe()
+        if not address:
+            return None
+        if self._probe is None:
+            self._probe = asyncio.create_task(self._ended(address))
+            self._probed = address
+        return self._probe
+
+    def _drop_probe(self) -> None:
+        if self._probe is not None:
+            self._probe.cancel()
+        self._probe, self._probed = None, ""
+
     async def _acquire(self, former: LeaseRow) -> Tenure | None:
-        value = LeaseRow(self._holder, 0, 0)
+        value = LeaseRow(self._holder, 0, 0, self._address)
         present = self._row.revision if self._row else 0
         self._tried_at = time.monotonic()
         try:
@@ -126,7 +190,9 @@
         return self._tenure(revision)
 
     def _tenure(self, token: int) -> Tenure:
-        return Tenure(self._holder, token, self._tried_at, self._changed_at)
+        return Tenure(
+            self._holder, token, self._tried_at, self._changed_at, self._address
+        )
 
     def _note(self, row: Row | None) -> None:
         if row is not None and row.removed:
--- a/libs/planner/tests/test_tenure.py
+++ b/libs/planner/tests/test_tenure.py
@@ -9,6 +9,7 @@
 from bilberryhitch_jobs.rows import Row
 from bilberryhitch_planner import Campaign, Deposed, Planner
 from bilberryhitch_planner.journal import MOST_ENTRIES, SWEEP_PERIOD_S, Journal
+from bilberryhitch_planner.liveness import process_ended
 from bilberryhitch_planner.tenure import LEASE_KEY, LEASE_TABLE, SILENCE_S, decode_lease
 from bilberryhitch_testing import run_virtual
 
@@ -233,3 +234,57 @@
         assert ("progress", "begun") in store.rows
 
     run_virtual(scene())
+
+
+def test_a_holder_whose_process_has_ended_is_replaced_without_waiting():
+    """Load: the planner is killed in a burst; urgent jobs have little more slack than
+    the silence that a candidate would wait for.
+    """
+
+    async def scene():
+        store, killed = MemoryStore(), asyncio.Event()
+
+        async def ended(address):
+            await (killed if address == "ip:1" else asyncio.Event()).wait()
+
+        first = await Campaign(store, "a/1", "ip:1").win()
+        _, held = journal(store, first)
+        running = asyncio.create_task(held.run())
+        rivals = [
+            asyncio.create_task(Campaign(store, f"{name}/1", "ip:2", ended).win())
+            for name in "bc"
+        ]
+        await asyncio.sleep(3 * SILENCE_S)
+        assert not any(rival.done() for rival in rivals)
+        running.cancel()
+        killed.set()
+        await asyncio.sleep(0.4)
+        assert sum(rival.done() for rival in rivals) == 1
+        for rival in rivals:
+            rival.cancel()
+        await asyncio.gather(running, *rivals, return_exceptions=True)
+
+    run_virtual(scene())
+
+
+def test_a_process_ends_when_its_port_refuses_not_when_a_connection_breaks():
+    """Guards against a planner that is replaced because connections were reset."""
+
+    async def scene():
+        accepted = asyncio.Queue()
+
+        async def accept(_reader, writer):
+            await accepted.put(writer)
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        watching = asyncio.create_task(process_ended(f"127.0.0.1:{port}"))
+        (await accepted.get()).transport.abort()
+        connection = await accepted.get()
+        assert not watching.done()
+        server.close()
+        connection.transport.abort()
+        async with asyncio.timeout(5):
+            await watching
+
+    asyncio.run(scene())
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -322,6 +322,12 @@
 PLANNER_LEASE_WON = Event(
     4221, "planner_lease_won", "INFO", "This host acquired the planner's lease."
 )
+PLANNER_PROCESS_ENDED = Event(
+    4224,
+    "planner_process_ended",
+    "WARNING",
+    "The planner's process has ended without giving its lease up.",
+)
 PLANNER_STARTED = Event(4222, "planner_started", "INFO", "This host plans from now on.")
 PLANNER_ENDED = Event(4223, "planner_ended", "INFO", "This host no longer plans.")
 PLANNER_ISOLATED = Event(
