--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -43,6 +43,8 @@
 # A planned handover must leave most of the shutdown's time to open requests.
 RELEASE_S = 1.5
 CANCEL_PERIOD_S = 0.2
+# A run whose lease cannot outlast the next looks at its worker is not started.
+LEAST_LEASE_S = 1.5
 # The least time after a takeover before the workers' silence is judged.
 ISOLATION_GRACE_S = 3.0
 
@@ -152,7 +154,8 @@
             now, unix_s = time.monotonic(), time.time()
             self._adopt_configuration()
             self.planner.tick(now=now, unix_s=unix_s)
-            for order in self.planner.plan(now=now, unix_s=unix_s):
+            may_start = self.journal.lease_limit - now > LEAST_LEASE_S
+            for order in self.planner.plan(now=now, unix_s=unix_s, may_start=may_start):
                 session = self._sessions.get(order.worker)
                 if session is not None:
                     self._spawn(session.send(order))
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -19,8 +19,6 @@
 from .books import Books, task_text
 from .guarantees import Guarantees
 from .ordering import job_order
-from .placement import headroom, place_gang, place_task, suits
-from .reclaim import find_eviction
 from .reports import (
     Advice,
     AdviseOrder,
@@ -34,22 +32,15 @@
     WorkerEntry,
 )
 from .reservations import Reservations
-from .runs import Run, RunState
+from .rounds import Round
+from .runs import RunState
 from .sharing import pace_orders
 from .speeds import recover
-from .units import JobBook, StepBook, Unit
+from .units import JobBook, StepBook
 from .workers import Worker
 
 # After an order that did not lead to a run.
 RETRY_S = 0.15
-# The objective of an urgent job leaves about a second beside its own run time, of
-# which a stop takes up to 0.9 s; only what frees within a round is waited for.
-RECLAIM_AFTER_S = 0.05
-# A last attempt avoids workers whose last run failed for this long.
-SUSPECT_WAIT_S = 1.5
-# Data on another rack is fetched after this wait while half of the room is idle.
-AWAY_AFTER_S = 1.5
-IDLE_SHARE = 0.5
 # A worker that starts again at an address this soon after another ended there may
 # be going down and up by turns.
 CRASH_MEMORY_S = 8.0
@@ -84,10 +75,9 @@
         self._newest_revision = 0
         self._queues: dict[str, Queue] = {}
         self._guarantees = Guarantees()
-        self._headroom: dict[str, frozenset[str]] = {}
         # When a worker ended at an address, and its failures until then.
         self._ended_at: dict[str, tuple[float, int]] = {}
-        self._reserved = Reservations(0.0)
+        self._reserved: Reservations | None = None
         self.questions: list[AdviseOrder] = []
 
     @property
@@ -370,26 +360,31 @@
 
     # Decisions.
 
-    def plan(self, *, now: float, unix_s: float) -> list[Order]:
-        """Place what can be placed and return the orders to send."""
+    def plan(self, *, now: float, unix_s: float, may_start: bool = True) -> list[Order]:
+        """Place what can be placed and return the orders to send.
+
+        :param may_start: whether a run that is started now would have a lease
+        """
         usable: dict[str, list[Worker]] = {}
         for worker in self.workers.values():
             name = worker.entry.worker
             if name in self.rostered - self.withheld and worker.usable(now):
                 usable.setdefault(worker.entry.service, []).append(worker)
         self._guarantees.count(self.workers.values())
-        self._headroom = {
-            service: headroom(workers) for service, workers in usable.items()
-        }
-        self._reserved = Reservations(now, self._reserved)
-        blocked = self.inheritance_open and now < self._inherited_until
-        for step in self._steps_in_order(now):
-            if (
-                step.job.revision > self._confirmed_revision
-                or step.job.request.due_s(step.occurrence) > unix_s
-            ):
-                continue
-            self._place_step(step, usable, blocked, now)
+        round_ = Round(
+            self._books,
+            self._guarantees,
+            usable,
+            former=self._reserved,
+            blocked=self.inheritance_open and now < self._inherited_until,
+            now=now,
+        )
+        for step in self._steps_in_order(now) if may_start else ():
+            confirmed = step.job.revision <= self._confirmed_revision
+            if confirmed and step.job.request.due_s(step.occurrence) <= unix_s:
+                round_.place_step(step)
+        self._reserved = round_.reserved
+        self.questions += round_.questions
         orders, self._books.orders = self._books.orders, []
         return orders
 
@@ -405,150 +400,3 @@
     def _steps_in_order(self, now: float) -> list[StepBook]:
         steps = [step for step in self._books.ready.values() if step.waiting]
         return sorted(steps, key=lambda step: job_order(step, now))
-
-    def _place_step(
-        self,
-        step: StepBook,
-        usable: dict[str, list[Worker]],
-        blocked: bool,
-        now: float,
-    ) -> None:
-        all_workers = usable.get(step.job.queue.service, [])
-        workers = [worker for worker in all_workers if suits(worker, step.step)]
-        permissions = self._books.permissions_of(step)
-        if permissions is not None:
-            question = permissions.request(step, workers, now)
-            if question is not None:
-                self.questions.append(question)
-            workers = [
-                each for each in workers if permissions.holds(each.entry.worker, now)
-            ]
-        anywhere = self._data_may_move(step, workers, now)
-        for unit in list(step.waiting.values()):
-            if unit.retry_at > now or (
-                blocked and step.job.inherited and not unit.adopted
-            ):
-                continue
-            members = self._place(unit, workers, anywhere, now)
-            if members is not None:
-                self._start(unit, members, now)
-            elif not self._reclaim(unit, workers, now):
-                if step.step.gang:
-                    self._reserved.reserve(unit, workers, all_workers)
-                break
-
-    def _place(
-        self, unit: Unit, workers: list[Worker], anywhere: bool, now: float
-    ) -> dict[int, Worker] | None:
-        """Choose workers, those whose last run failed only if there is no other."""
-        job = unit.step.job
-        spared = self._headroom.get(job.queue.service, frozenset())
-        allowed = [
-            worker
-            for worker in workers
-            if self._books.kept.allows(worker, unit)
-            and self._reserved.allows(worker, unit)
-            and (job.queue.priority == 0 or worker.entry.worker not in spared)
-        ]
-        sound = [worker for worker in allowed if not worker.suspect(now)]
-        members = _choose(unit, sound, workers, anywhere)
-        last_attempt = unit.attempts_left <= 1 and unit.failed_runs
-        if members is None and len(sound) < len(allowed):
-            if last_attempt and now - unit.waiting_since < SUSPECT_WAIT_S:
-                return None
-            members = _choose(unit, allowed, workers, anywhere)
-        return members
-
-    def _data_may_move(self, step: StepBook, workers: list[Worker], now: float) -> bool:
-        """Return whether single tasks may run away from their data."""
-        rack = step.step.data_rack
-        if not rack or all(worker.entry.rack != rack for worker in workers):
-            return True
-        waiting_since = min(unit.waiting_since for unit in step.waiting.values())
-        if now - waiting_since < AWAY_AFTER_S:
-            return False
-        total = sum(worker.entry.capacity.cpu for worker in workers)
-        return sum(worker.free.cpu for worker in workers) > total * IDLE_SHARE
-
-    def _start(self, unit: Unit, members: dict[int, Worker], now: float) -> None:
-        step, job = unit.step, unit.step.job
-        unit.last_run += 1
-        step.waiting.pop(unit.index, None)
-        self._books.kept.release(unit)
-        demand = step.step.booked
-        permissions = self._books.permissions_of(step)
-        for index, worker in members.items():
-            name = worker.entry.worker
-            run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
-            unit.runs[index] = run
-            worker.add_run(run)
-            self._books.orders.append(
-                StartOrder(
-                    name,
-                    run.task,
-                    run.number,
-                    job.request.spec,
-                    unit.saved,
-                    permissions.ticket(name) if permissions else "",
-                )
-            )
-        job.state = JobState.RUNNING
-        self._guarantees.claim(unit)
-        self.dirty.add(job.request.job)
-        log(
-            events.UNIT_STARTED,
-            request_id=job.request.job,
-            task=task_text(unit.task(unit.task_indexes[0])),
-            run=unit.last_run,
-            workers=[worker.entry.worker for worker in members.values()],
-            waited_s=round(now - unit.waiting_since, 3),
-            saved=unit.saved,
-        )
-
-    def _reclaim(self, unit: Unit, workers: list[Worker], now: float) -> bool:
-        """Stop others' work if the unit's account is below its guarantee.
-
-        :returns: whether room is being made for the unit
-        """
-        if self._books.kept.awaits_room(unit, now):
-            return True
-        self._books.kept.release(unit)
-        waited_s = now - unit.waiting_since
-        if (
-            unit.step.job.queue.priority != 0
-            or waited_s < RECLAIM_AFTER_S
-            or not self._guarantees.covers(unit)
-        ):
-            return False
-        candidates = [each for each in workers if self._books.kept.allows(each, unit)]
-        eviction = find_eviction(
-            unit, candidates, self._guarantees.allows_eviction, now
-        )
-        if eviction is None:
-            return False
-        self._books.kept.keep(eviction.workers, unit, now)
-        unit.across_racks = eviction.across_racks
-        self._guarantees.claim(unit)
-        for victim in eviction.units:
-            for run in victim.runs.values():
-                self._books.order_stop(run)
-        log(
-            events.UNITS_EVICTED,
-            request_id=unit.step.job.request.job,
-            task=task_text(unit.task(unit.task_indexes[0])),
-            evicted=[
-                task_text(each.task(each.task_indexes[0])) for each in eviction.units
-            ],
-            lost_core_s=round(eviction.cost, 1),
-            waited_s=round(waited_s, 3),
-        )
-        return True
-
-
-def _choose(
-    unit: Unit, workers: list[Worker], pool: list[Worker], anywhere: bool
-) -> dict[int, Worker] | None:
-    if unit.step.step.gang:
-        return place_gang(unit, workers, pool, across_racks=unit.across_racks)
-    worker = place_task(unit, workers, anywhere=anywhere)
-    return {unit.index: worker} if worker else None
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -380,6 +380,18 @@
     assert {order.worker for order in world.starts()} == {"w2"}
 
 
+def test_nothing_starts_while_no_lease_could_be_granted():
+    """Load: the store is away for longer than the leases on workers last; each start
+    was refused as too late, again and again.
+    """
+    world = World(entry("w1"))
+    world.report("w1")
+    world.add(request("j", step()))
+    world.planner.rostered = frozenset({"w1"})
+    assert world.planner.plan(now=0.0, unix_s=UNIX, may_start=False) == []
+    assert len(world.starts()) == 1
+
+
 def test_members_that_wait_for_slower_ones_are_not_taken_for_stalled():
     """Calm grown day: uneven gangs on workers of unlike speed were stopped close to
     their end, and four starts in a row threw away 20 workers' work.
