--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -126,6 +126,7 @@
         self._in_flight = False
         self._summary = b""
         self._summary_at = float("-inf")
+        self._counting = False
         self._notes: dict[tuple[str, str], Write] = {}
         # Jobs whose requests are removed and whose progress is to follow.
         self._orphans: set[str] = set()
@@ -157,6 +158,10 @@
         if self._pending:
             self._changed.set()
 
+    def count_waiting(self) -> None:
+        """Tell callers from now on how many jobs wait: all of them are known."""
+        self._counting = True
+
     def put(self, write: Write) -> None:
         """Store a row of the planner's own soon; a later one of its key replaces it."""
         self._notes[write.table, write.key] = write
@@ -330,7 +335,7 @@
         return Write(LEASE_TABLE, LEASE_KEY, encode_lease(lease))
 
     def _summary_write(self, now: float) -> list[Write]:
-        if now - self._summary_at < SUMMARY_PERIOD_S:
+        if not self._counting or now - self._summary_at < SUMMARY_PERIOD_S:
             return []
         value = msgspec.json.encode(self._planner.waiting_counts(), order="sorted")
         if value == self._summary:
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -138,6 +138,7 @@
                 self._inherited = await read_progress(self._store)
                 await self._jobs.advance()
                 self.journal.take_orphans(self._inherited)
+                self.journal.count_waiting()
                 return
             except STORE_ERRORS as error:
                 log(events.DEPENDENCY_LOST, dependency="store", error=error)
--- a/libs/planner/tests/test_tenure.py
+++ b/libs/planner/tests/test_tenure.py
@@ -288,3 +288,22 @@
             await watching
 
     asyncio.run(scene())
+
+
+def test_waiting_jobs_are_counted_only_when_all_are_known():
+    """Guards against MIXED of the grown agency's scale-1: a new planner stored that no
+    job waits before it had read the jobs.
+    """
+
+    async def scene():
+        store = MemoryStore()
+        store.rows["summary", "waiting"] = Row("summary", "waiting", b'{"q":7}', 1)
+        tenure = await Campaign(store, "a/1").win()
+        _, held = journal(store, tenure)
+        await held.write()
+        assert store.rows["summary", "waiting"].value == b'{"q":7}'
+        held.count_waiting()
+        await held.write()
+        assert store.rows["summary", "waiting"].value == b"{}"
+
+    run_virtual(scene())
--- a/tests/path/platform_deployment.py
+++ b/tests/path/platform_deployment.py
@@ -72,6 +72,10 @@
         for name in self.hosts:
             await self.until_ready(name)
 
+    def store_address(self, _name):
+        """Return the address at which a host finds the store."""
+        return self.store.listener.address
+
     def launch(self, name):
         ports = self.ports.setdefault(name, (free_port(), free_port(), free_port()))
         front, ready, metrics = ports
@@ -81,7 +85,7 @@
             "ip": "127.0.0.1",
             "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
             "metrics-port": metrics,
-            "platform": {"address": self.store.listener.address, "row-bytes": 65536},
+            "platform": {"address": self.store_address(name), "row-bytes": 65536},
             "timing-bounds": {"grace-s": 3, "status_s": 120},
         }
         path = self.folder / f"{name}.jsonc"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,8 @@
 import aiohttp
 from bilberryhitch_jobs import TaskName
 
-from tests.path.platform_deployment import Deployment, body, job
+from tests.path.platform_deployment import CONFIGURATION, Deployment, body, job
+from tests.soak.proxy import Proxy
 
 HOSTS, WORKERS = 3, 4
 JOB_PERIOD_S = 0.35
@@ -27,6 +28,44 @@
 SETTLE_S = 45.0
 
 
+class ProxiedDeployment(Deployment):
+    """A deployment whose hosts reach the store and the workers through proxies."""
+
+    def __init__(self, folder: Path, work_s: float) -> None:
+        super().__init__(folder, work_s)
+        self.proxies: dict[str, Proxy] = {}
+
+    async def start(self, hosts: int, workers: int) -> None:
+        """Start all; each host has a proxy to the store, each worker one of its own."""
+        await self.store.start()
+        await self.store.put("op", "config", CONFIGURATION)
+        await self.fleet.start(workers)
+        for name, listener in self.fleet.listeners.items():
+            await self._add_proxy(name, listener.address)
+            self.fleet.addresses[name] = self.proxies[name].address
+            await self.fleet.register(name)
+        for number in range(hosts):
+            await self._add_proxy(f"host-{number}", self.store.listener.address)
+            self.launch(f"host-{number}")
+        self.session = aiohttp.ClientSession()
+        for name in self.hosts:
+            await self.until_ready(name)
+
+    async def close(self) -> None:
+        """End what was started."""
+        await super().close()
+        for proxy in self.proxies.values():
+            await proxy.close()
+
+    def store_address(self, name: str) -> str:
+        """Return the address at which a host finds the store."""
+        return self.proxies[name].address
+
+    async def _add_proxy(self, name: str, target: str) -> None:
+        self.proxies[name] = Proxy(target)
+        await self.proxies[name].start()
+
+
 class Soak:
     """One seeded run."""
 
@@ -36,7 +75,7 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self._rng = random.Random(seed)
-        self._deployment = Deployment(folder, work_s=0.8)
+        self._deployment = ProxiedDeployment(folder, work_s=0.8)
         self._seconds = seconds
         self._pending: set[asyncio.Task[None]] = set()
 
@@ -85,6 +124,9 @@
             self._store_fault,
             self._cut_worker,
             self._forget,
+            self._reset,
+            self._cut_one_way,
+            self._delay,
         ]
         while time.monotonic() < until:
             await asyncio.sleep(self._rng.uniform(*FAULT_PERIOD_S))
@@ -141,6 +183,28 @@
         await asyncio.sleep(seconds * 3)
         listener.silent = False
 
+    async def _reset(self, _seconds: float) -> None:
+        names = sorted(self._deployment.proxies)
+        chosen = self._rng.sample(names, self._rng.randint(1, len(names)))
+        self._note(f"reset connections of {', '.join(chosen)}")
+        for name in chosen:
+            self._deployment.proxies[name].reset()
+
+    async def _cut_one_way(self, seconds: float) -> None:
+        name = self._rng.choice(sorted(self._deployment.proxies))
+        switch = self._rng.choice(["drop_requests", "drop_answers"])
+        self._note(f"{switch} of {name} {seconds:.1f}")
+        setattr(self._deployment.proxies[name], switch, True)
+        await asyncio.sleep(seconds * 2)
+        setattr(self._deployment.proxies[name], switch, False)
+
+    async def _delay(self, seconds: float) -> None:
+        name = self._rng.choice(sorted(self._deployment.proxies))
+        self._note(f"delay {name} {seconds:.1f}")
+        self._deployment.proxies[name].delay_s = self._rng.uniform(0.05, 0.4)
+        await asyncio.sleep(seconds * 2)
+        self._deployment.proxies[name].delay_s = 0.0
+
     async def _forget(self, _seconds: float) -> None:
         self._note("store forgets its history")
         self._deployment.store.forget_history()
