--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -41,9 +41,10 @@
         if self._server is not None:
             self._server.close()
         self.reset()
-        for link in self._links:
+        links = list(self._links)
+        for link in links:
             link.cancel()
-        await asyncio.gather(*self._links, return_exceptions=True)
+        await asyncio.gather(*links, return_exceptions=True)
 
     def reset(self) -> None:
         """Abort all open connections."""
@@ -75,6 +76,8 @@
             self._writers -= pair
             for each in pair:
                 each.transport.abort()
+                with suppress(OSError):
+                    await each.wait_closed()
 
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, switch: str
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -20,9 +20,17 @@
         proxy = Proxy(f"127.0.0.1:{port}")
         await proxy.start()
         host, _, port = proxy.address.rpartition(":")
+        opened = []
+
+        async def connect():
+            opened.append(await asyncio.open_connection(host, int(port)))
+            return opened[-1]
+
         try:
-            await scene(proxy, lambda: asyncio.open_connection(host, int(port)))
+            await scene(proxy, connect)
         finally:
+            for _, writer in opened:
+                writer.transport.abort()
             await proxy.close()
             server.close()
 
