--- a/libs/planner/src/bilberryhitch_planner/journal.py
+++ b/libs/planner/src/bilberryhitch_planner/journal.py
@@ -7,7 +7,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Mapping
-from contextlib import suppress
 
 import msgspec
 from bilberryhitch_jobs import (
@@ -51,6 +50,7 @@
     decode_lease,
     encode_lease,
 )
+from .waiting import happens
 
 # Entries of one transaction, below the platform's limit of 100.
 MOST_ENTRIES = 80
@@ -177,8 +177,7 @@
             if not self._pending and not self._renewal_due(now):
                 due = max(self._renewed_at + RENEWAL_S - now, CLOCK_STEP_S)
                 self._changed.clear()
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self._changed.wait(), due)
+                await happens(self._changed, due)
             await self.write()
 
     async def settle(self, timeout_s: float) -> bool:
@@ -192,10 +191,8 @@
         target = self._begun + (1 if unsent else 0)
         self.notify()
         try:
-            async with self._advanced:
-                await asyncio.wait_for(
-                    self._advanced.wait_for(lambda: self._stored >= target), timeout_s
-                )
+            async with asyncio.timeout(timeout_s), self._advanced:
+                await self._advanced.wait_for(lambda: self._stored >= target)
         except TimeoutError:
             return False
         return True
--- a/libs/planner/src/bilberryhitch_planner/lead.py
+++ b/libs/planner/src/bilberryhitch_planner/lead.py
@@ -26,6 +26,7 @@
 from .session import Session
 from .tenure import WORKER_LEASE_HORIZON_S, Tenure
 from .upkeep import Upkeep, UpkeepCalls, Wave
+from .waiting import happens
 from .worker_calls import WorkerCalls
 from .workers import CLOCK_DRIFT, LEASE_SLACK_S
 
@@ -146,11 +147,8 @@
 
     async def _plan(self) -> None:
         while True:
-            try:
-                await asyncio.wait_for(self._wake.wait(), TICK_S)
+            if await happens(self._wake, TICK_S):
                 await asyncio.sleep(BATCH_S)
-            except TimeoutError:
-                pass
             self._wake.clear()
             now, unix_s = time.monotonic(), time.time()
             self._adopt_configuration()
--- /dev/null
+++ b/libs/planner/tests/test_waiting.py
@@ -0,0 +1,32 @@
+"""Guards against the hang of soak seed 127: a planner that was told to stop in the turn
+in which it woke up went on planning, and its process never ended.
+"""
+
+import asyncio
+
+import pytest
+from bilberryhitch_planner.waiting import happens
+
+
+@pytest.mark.parametrize("turns", range(4))
+@pytest.mark.parametrize("cancel_first", [False, True])
+def test_a_cancellation_is_not_lost_when_the_event_happens(turns, cancel_first):
+    async def scene():
+        event = asyncio.Event()
+        task = asyncio.create_task(happens(event, 10.0))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        accepted = task.cancel() if cancel_first else False
+        event.set()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        if not cancel_first:
+            accepted = task.cancel()
+        await asyncio.wait((task,))
+        assert task.cancelled() is accepted
+
+    asyncio.run(scene())
+
+
+def test_an_event_that_does_not_happen():
+    assert asyncio.run(happens(asyncio.Event(), 0.01)) is False
--- /dev/null
+++ b/tests/machines/test_point5_planner.py
@@ -0,0 +1,138 @@
+"""Point 5 on the platform: a task runs once, whoever plans and whatever is lost."""
+
+import pytest
+from bilberryhitch_jobs import JobState
+from bilberryhitch_planner import Planner
+from bilberryhitch_testing.planner_world import queue, request, step
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tests.machines.harness import Counts, Point, run_point
+from tests.machines.world_point5_planner import PlannerWorld, truth
+
+COUNTS = Counts()
+# A lease, a takeover and the work of all jobs one after another.
+SETTLE_TURNS = 900
+# Half a second after each event, so that a history spans several jobs.
+TURNS = 5
+
+
+class PlannerMachine(RuleBasedStateMachine):
+    """Jobs, takeovers, cuts, late orders and outages of the store, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        COUNTS.histories += 1
+        self.world = PlannerWorld()
+        self.count = 0
+
+    @rule(
+        tasks=st.integers(1, 4),
+        gpu=st.sampled_from([1, 4, 8]),
+        gang=st.booleans(),
+        priority=st.sampled_from([0, 2]),
+        saves=st.booleans(),
+    )
+    def submit(self, tasks, gpu, gang, priority, saves):
+        self.count += 1
+        name = f"{self.count:016x}"
+        size = min(tasks, 2) if gpu == 8 else tasks
+        each = step(size, gpu, gang=gang, saves_progress=saves)
+        job = request(name, each, route=queue(f"q{priority}", priority, 50))
+        work = truth(
+            1.0, each.demand, gang_size=size if gang else 1, save_s=0.5 * saves
+        )
+        self.world.submit(job, work)
+        self._pass(TURNS)
+
+    @rule(turns=st.integers(1, 40))
+    def wait(self, turns):
+        self._pass(turns)
+
+    @rule(number=st.integers(0, 3))
+    def cut(self, number):
+        COUNTS.faults += 1
+        self.world.cut ^= {f"w{number}"}
+        self._pass(TURNS)
+
+    @rule(number=st.integers(2, 3))
+    def crash(self, number):
+        COUNTS.faults += 1
+        if self.world.fleet.workers[f"w{number}"].alive:
+            self.world.crash(f"w{number}")
+
+    @rule(orders=st.integers(1, 6))
+    def orders_come_late(self, orders):
+        COUNTS.faults += 1
+        self.world.late_next = orders
+
+    @rule(turns=st.integers(5, 150))
+    def store_is_away(self, turns):
+        COUNTS.faults += 1
+        self.world.store_up = False
+        self._pass(turns)
+        self.world.store_up = True
+
+    @rule(behind=st.integers(0, 3))
+    def take_over(self, behind):
+        """Change planners, often with a worker behind a cut."""
+        COUNTS.faults += 1
+        self.world.cut |= {f"w{behind}"}
+        self.world.take_over()
+        self._pass(TURNS)
+
+    @invariant()
+    def nothing_is_broken(self):
+        assert not self.world.violations
+
+    def _pass(self, turns):
+        for _ in range(turns):
+            COUNTS.steps += 1
+            self.world.turn()
+
+    def teardown(self):
+        """Heal everything; each accepted job must be completed."""
+        world = self.world
+        world.cut, world.late_next, world.store_up = set(), 0, True
+        for _ in range(SETTLE_TURNS):
+            if all(job.finished for job in world.leader.planner.jobs.values()):
+                break
+            if world.leader.fenced:
+                world.take_over()
+            world.turn()
+        states = {name: job.state for name, job in world.leader.planner.jobs.items()}
+        assert set(states) == set(world.requests)
+        assert all(state is JobState.COMPLETED for state in states.values()), states
+
+
+POINT = Point(5, PlannerMachine, COUNTS)
+
+
+def test_tasks_run_once_over_takeovers():
+    run_point(POINT, seed_number=1, histories=15)
+
+
+def test_the_oracle_rejects_a_second_run():
+    """The model notices what the machine is to find."""
+    world = PlannerWorld()
+    each = step(1, 1)
+    world.submit(request("0" * 16, each), truth(1.0, each.demand))
+    for _ in range(5):
+        world.turn()
+    (task, worker), *_ = [
+        (run.task, run.worker)
+        for each in world.leader.planner.workers.values()
+        for run in each.runs.values()
+    ]
+    other = next(name for name in world.fleet.workers if name != worker)
+    world.fleet.workers[other].start(
+        task, 9, saved="", token=99, lease_until_s=world.now + 5, now=world.now
+    )
+    with pytest.raises(AssertionError, match="overlaps"):
+        world.turn()
+
+
+def test_a_planner_that_does_not_wait_for_unseen_workers_is_noticed(monkeypatch):
+    monkeypatch.setattr(Planner, "inheritance_open", property(lambda _: False))
+    with pytest.raises(AssertionError):
+        run_point(POINT, seed_number=1, histories=60)
--- /dev/null
+++ b/tests/machines/world_point5_planner.py
@@ -0,0 +1,230 @@
+"""Planners that follow each other over model workers, a store and lossy orders."""
+
+from bilberryhitch_jobs import JobProgress, JobState
+from bilberryhitch_planner import EndKind, Planner, StartOrder, StartOutcome, StopOrder
+from bilberryhitch_planner.tenure import WORKER_LEASE_HORIZON_S
+from bilberryhitch_planner.workers import CLOCK_DRIFT, LEASE_SLACK_S
+from bilberryhitch_standins.task_workers import TaskFleet, TaskTruth
+from bilberryhitch_testing.planner_world import UNIX, configuration, entry
+
+TURN_S = 0.1
+LEASE_S = 10.0
+HORIZON_S = WORKER_LEASE_HORIZON_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
+
+
+class Tenant:
+    """One planner's tenure and what its host has in flight."""
+
+    def __init__(self, token, planner, confirmed_at):
+        self.token = token
+        self.planner = planner
+        self.confirmed_at = confirmed_at
+        self.looked = set()
+        self.lost = set()
+        self.acknowledged = {}
+        self.stops = []
+        self.fenced = False
+
+    @property
+    def limit(self):
+        return self.confirmed_at + WORKER_LEASE_HORIZON_S
+
+
+class PlannerWorld:
+    """A store that may be away, workers that may be cut off, orders that come late."""
+
+    def __init__(self, workers=4):
+        self.now = 0.0
+        self.revision = 0
+        self.store_up = True
+        self.requests = {}
+        self.progress = {}
+        self.roster = frozenset()
+        self.truths = {}
+        self.cut = set()
+        self.late = []
+        self.late_next = 0
+        self.done = set()
+        self.violations = []
+        self.fleet = TaskFleet(lambda task: self.truths[task.job])
+        for number in range(workers):
+            each = entry(f"w{number}", rack=f"r{number // 2}")
+            self.fleet.add_worker(each)
+        self.former = None
+        self.leader = None
+        self.take_over()
+
+    def submit(self, request, truth):
+        if not self.store_up:
+            return
+        self.revision += 1
+        self.truths[request.job] = truth
+        self.requests[request.job] = (request, self.revision)
+        for tenant in (self.leader, self.former):
+            if tenant is not None:
+                self._tell(tenant, request.job)
+
+    def take_over(self):
+        """Elect another planner; the former one goes on until it notices."""
+        self.former = self.leader
+        self.revision += 1
+        until = self.former.confirmed_at + HORIZON_S if self.former else 0.0
+        planner = Planner(inherited_revision=self.revision, inherited_until=until)
+        planner.configure(configuration())
+        self.leader = Tenant(self.revision, planner, self.now)
+        for name in self.roster:
+            planner.add_doubtful(name, now=self.now)
+        for worker in self.fleet.workers.values():
+            if worker.alive:
+                planner.add_worker(worker.entry, now=self.now)
+        for name in self.requests:
+            self._tell(self.leader, name)
+
+    def turn(self):
+        """Let a tenth of a second pass for everybody."""
+        self.now += TURN_S
+        self.fleet.advance(self.now)
+        for due, name, call in list(self.late):
+            if due <= self.now:
+                self.late.remove((due, name, call))
+                if self.fleet.workers[name].alive:
+                    call()
+        for tenant in (self.former, self.leader):
+            if tenant is not None and not tenant.fenced:
+                self._act(tenant)
+        self.violations += [f"{task} overlaps" for task in self.fleet.overlaps]
+        self.violations += [f"{task} has no room" for task in self.fleet.overbooked]
+        assert not self.violations, self.violations
+
+    def crash(self, name):
+        """End a worker for good; the list of machines tells of it."""
+        self.fleet.workers[name].crash()
+        for tenant in (self.leader, self.former):
+            if tenant is not None:
+                tenant.planner.worker_gone(name, now=self.now, unix_s=UNIX + self.now)
+
+    def _tell(self, tenant, name):
+        request, revision = self.requests[name]
+        fresh = JobProgress(JobState.PENDING, request.account, {})
+        tenant.planner.add_job(
+            request,
+            self.progress.get(name, fresh),
+            revision,
+            now=self.now,
+            unix_s=UNIX + self.now,
+        )
+
+    def _act(self, tenant):
+        for name in list(tenant.planner.workers):
+            if name in self.fleet.workers:
+                self._look(tenant, name)
+        self._store(tenant)
+        planner = tenant.planner
+        planner.tick(now=self.now, unix_s=UNIX + self.now)
+        for order in planner.plan(
+            now=self.now,
+            unix_s=UNIX + self.now,
+            may_start=tenant.limit - self.now > 1.5,
+        ):
+            if isinstance(order, StartOrder):
+                self._start(tenant, order)
+            elif isinstance(order, StopOrder):
+                tenant.stops.append(order)
+        for order in tenant.stops:
+            self._stop(tenant, order)
+        tenant.stops = [
+            order
+            for order in tenant.stops
+            if (order.task, order.run)
+            in getattr(planner.workers.get(order.worker), "runs", {})
+        ]
+
+    def _look(self, tenant, name):
+        model = self.fleet.workers[name]
+        worker = tenant.planner.workers[name]
+        if name in self.cut or not model.alive:
+            tenant.lost.add(name)
+            tenant.acknowledged.pop(name, None)
+            return
+        lease = None
+        limit = min(self.now + LEASE_S, tenant.limit)
+        if name in tenant.looked and name not in tenant.lost and limit > self.now:
+            lease = worker.lease_deadline(limit, self.now)
+        report = model.hold(
+            token=tenant.token,
+            acknowledged=tenant.acknowledged.get(name, 0),
+            lease_until_s=lease,
+            now=self.now,
+        )
+        if report is None:
+            tenant.fenced = True
+            return
+        tenant.looked.add(name)
+        tenant.lost.discard(name)
+        tenant.planner.report(
+            name, report, sent_at=self.now, now=self.now, unix_s=UNIX + self.now
+        )
+        if report.ended and self._store(tenant):
+            tenant.acknowledged[name] = max(end.sequence for end in report.ended)
+            self.done |= {e.task for e in report.ended if e.how is EndKind.DONE}
+
+    def _store(self, tenant):
+        """Store what has changed under the lease and return whether all is stored."""
+        if not self.store_up or tenant is not self.leader:
+            return False
+        for name in tenant.planner.dirty:
+            self.progress[name] = tenant.planner.jobs[name].progress()
+        tenant.planner.dirty = set()
+        self.revision += 1
+        tenant.planner.confirm(self.revision)
+        self.roster = tenant.planner.rostered = frozenset(tenant.planner.workers)
+        tenant.confirmed_at = self.now
+        return True
+
+    def _start(self, tenant, order):
+        model = self.fleet.workers[order.worker]
+        worker = tenant.planner.workers[order.worker]
+        lease = worker.lease_deadline(min(self.now + LEASE_S, tenant.limit), self.now)
+
+        def apply():
+            outcome = model.start(
+                order.task,
+                order.run,
+                saved=order.saved,
+                token=tenant.token,
+                lease_until_s=lease,
+                now=self.now,
+            )
+            if outcome is StartOutcome.STARTED and order.task in self.done:
+                self.violations.append(f"{order.task} ran after its end")
+            return outcome
+
+        outcome = StartOutcome.UNKNOWN
+        if self.late_next:
+            self.late_next -= 1
+            due = self.now + 0.5 * (1 + self.late_next)
+            self.late.append((due, order.worker, apply))
+        elif order.worker not in self.cut and model.alive:
+            outcome = apply()
+        if outcome is StartOutcome.FENCED:
+            tenant.fenced = True
+            return
+        tenant.planner.start_answered(
+            order,
+            outcome,
+            certain=outcome is not StartOutcome.UNKNOWN,
+            now=self.now,
+            unix_s=UNIX + self.now,
+        )
+
+    def _stop(self, tenant, order):
+        model = self.fleet.workers[order.worker]
+        if order.worker in self.cut or not model.alive:
+            return
+        outcome = model.stop(order.task, order.run, token=tenant.token, now=self.now)
+        tenant.planner.stop_answered(order, outcome, now=self.now)
+
+
+def truth(work_s, demand, *, gang_size=1, save_s=0.0):
+    """Return what the tasks of a job really are."""
+    return TaskTruth(work_s, demand, gang_size=gang_size, save_s=save_s)
