--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from bilberryhitch_jobs import Store, Write
+from bilberryhitch_jobs.errors import STORE_ERRORS
 from bilberryhitch_telemetry import events, log
 
 from .errors import MachinesUnknown, WorkerFenced
@@ -18,6 +19,7 @@
 from .workers import Worker
 
 RECORD_TABLE = "upkeep"
+# Upkeep takes seconds; each round reads the list of machines once.
 PERIOD_S = 0.5
 # A machine's upkeep is visible in the list this long after its order at the latest.
 VISIBLE_S = 1.0
@@ -25,6 +27,7 @@
 MOST_LEAVE_S = 8.0
 # What a machine is away for besides the time that its work is waited for.
 AWAY_S = 4.0
+# A slow store stores an order's record within this; else the next round tries again.
 SETTLE_S = 2.0
 # A lasting task is at work at this percentage.
 ALL_AT_WORK = 100.0
@@ -227,6 +230,9 @@
             except MachinesUnknown as error:
                 log(events.MACHINES_UNKNOWN, error=error, silent=0)
                 continue
+            except STORE_ERRORS as error:
+                log(events.DEPENDENCY_LOST, dependency="store", error=error)
+                continue
             machines = {machine.name: machine for machine in listed}
             for wave in waves:
                 await self._advance(wave, records, machines)
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -5,6 +5,7 @@
 
 import pytest
 from bilberryhitch_jobs import Snapshot, Write
+from bilberryhitch_jobs.errors import StoreUnknown
 from bilberryhitch_planner import Machine, UpkeepOutcome, Wave, WorkerFenced
 from bilberryhitch_planner.upkeep import Upkeep, WaveBook, departure_cost
 from bilberryhitch_testing import run_virtual
@@ -133,9 +134,13 @@
         return True
 
 
-def upkeep(calls, notes, world, store_rows=()):
+def upkeep(calls, notes, world, failures=0):
+    left = iter([True] * failures)
+
     async def read(table, *, timeout_s):
-        return Snapshot(tuple(store_rows), 1)
+        if next(left, False):
+            raise StoreUnknown("rows", "lost")
+        return Snapshot((), 1)
 
     return Upkeep(
         SimpleNamespace(read=read),
@@ -176,6 +181,20 @@
     run_virtual(scene())
 
 
+def test_a_wave_waits_for_the_store_to_answer():
+    """Guards against a tenure that ends because one read failed."""
+
+    async def scene():
+        world, notes = World(entry("i-a")), Notes()
+        calls = Calls("abc")
+        running = asyncio.create_task(upkeep(calls, notes, world, failures=2).run())
+        await asyncio.sleep(30)
+        running.cancel()
+        assert calls.had == set("abc")
+
+    run_virtual(scene())
+
+
 def test_a_deposed_planner_gives_no_orders():
     """Guards against ONE: two holders that order one machine in turn."""
 
