--- a/libs/testing/src/bilberryhitch_testing/__init__.py
+++ b/libs/testing/src/bilberryhitch_testing/__init__.py
@@ -1,4 +1,7 @@
-"""Event loop with virtual time and fault injection for tests."""
+"""Event loop with virtual time and fault injection for tests.
+
+A planner with scripted workers is in :mod:`.planner_world`.
+"""
 
 from .faults import FaultyTables
 from .virtual_time import VirtualTimeLoop, run_virtual
