Let guaranteed gangs use workers that are reserved for others

Found by reading: an urgent gang beyond its guarantee that comes first in the order reserved what became free, and one within its guarantee could use it only after an eviction.

--- a/libs/planner/src/bilberryhitch_planner/rounds.py
+++ b/libs/planner/src/bilberryhitch_planner/rounds.py
@@ -91,11 +91,13 @@
         """Choose workers, those whose last run failed only if there is no other."""
         job, now = unit.step.job, self._now
         spared = self._headroom.get(job.queue.service, frozenset())
+        # A guarantee is kept in time whatever else waits.
+        guaranteed = job.queue.priority == 0 and self._guarantees.covers(unit)
         allowed = [
             worker
             for worker in workers
             if self._books.kept.allows(worker, unit)
-            and self.reserved.allows(worker, unit)
+            and (guaranteed or self.reserved.allows(worker, unit))
             and (job.queue.priority == 0 or worker.entry.worker not in spared)
         ]
         sound = [worker for worker in allowed if not worker.suspect(now)]
--- a/libs/planner/tests/test_reservations.py
+++ b/libs/planner/tests/test_reservations.py
@@ -97,3 +97,19 @@
     assert (
         sum(len(each.runs) for each in world.planner.workers.values()) >= 10 - reserved
     )
+
+
+def test_a_guaranteed_gang_takes_workers_that_another_waits_for():
+    """Guards against RECLAIM: an urgent gang beyond its account's guarantee reserved
+    what became free, and one within its guarantee waited behind it.
+    """
+    world = World(*(entry(f"w{number}") for number in range(4)), guaranteed=8)
+    world.report_all()
+    world.add(request("filler", step(4, gpu=8), route=queue(), account="b"))
+    at_work = world.start_all()
+    world.add(request("wide", step(3, gpu=8, gang=True), account="b"))
+    assert world.start_all() == []
+    world.now = 0.5
+    world.add(request("small", step(1, gpu=8, gang=True), account="a"))
+    end(world, at_work[0], [])
+    assert [order.task.job for order in world.start_all()] == ["small"]
