--- a/tests/machines/world_point5_planner.py
+++ b/tests/machines/world_point5_planner.py
@@ -12,7 +12,7 @@
 HORIZON_S = WORKER_LEASE_HORIZON_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
 
 
-class Tenant:
+class Holder:
     """One planner's tenure and what its host has in flight."""
 
     def __init__(self, token, planner, confirmed_at):
@@ -60,9 +60,9 @@
         self.revision += 1
         self.truths[request.job] = truth
         self.requests[request.job] = (request, self.revision)
-        for tenant in (self.leader, self.former):
-            if tenant is not None:
-                self._tell(tenant, request.job)
+        for holder in (self.leader, self.former):
+            if holder is not None:
+                self._tell(holder, request.job)
 
     def take_over(self):
         """Elect another planner; the former one goes on until it notices."""
@@ -71,7 +71,7 @@
         until = self.former.confirmed_at + HORIZON_S if self.former else 0.0
         planner = Planner(inherited_revision=self.revision, inherited_until=until)
         planner.configure(configuration())
-        self.leader = Tenant(self.revision, planner, self.now)
+        self.leader = Holder(self.revision, planner, self.now)
         for name in self.roster:
             planner.add_doubtful(name, now=self.now)
         for worker in self.fleet.workers.values():
@@ -89,9 +89,9 @@
                 self.late.remove((due, name, call))
                 if self.fleet.workers[name].alive:
                     call()
-        for tenant in (self.former, self.leader):
-            if tenant is not None and not tenant.fenced:
-                self._act(tenant)
+        for holder in (self.former, self.leader):
+            if holder is not None and not holder.fenced:
+                self._act(holder)
         self.violations += [f"{task} overlaps" for task in self.fleet.overlaps]
         self.violations += [f"{task} has no room" for task in self.fleet.overbooked]
         assert not self.violations, self.violations
@@ -99,14 +99,14 @@
     def crash(self, name):
         """End a worker for good; the list of machines tells of it."""
         self.fleet.workers[name].crash()
-        for tenant in (self.leader, self.former):
-            if tenant is not None:
-                tenant.planner.worker_gone(name, now=self.now, unix_s=UNIX + self.now)
+        for holder in (self.leader, self.former):
+            if holder is not None:
+                holder.planner.worker_gone(name, now=self.now, unix_s=UNIX + self.now)
 
-    def _tell(self, tenant, name):
+    def _tell(self, holder, name):
         request, revision = self.requests[name]
         fresh = JobProgress(JobState.PENDING, request.account, {})
-        tenant.planner.add_job(
+        holder.planner.add_job(
             request,
             self.progress.get(name, fresh),
             revision,
@@ -114,84 +114,84 @@
             unix_s=UNIX + self.now,
         )
 
-    def _act(self, tenant):
-        for name in list(tenant.planner.workers):
+    def _act(self, holder):
+        for name in list(holder.planner.workers):
             if name in self.fleet.workers:
-                self._look(tenant, name)
-        self._store(tenant)
-        planner = tenant.planner
+                self._look(holder, name)
+        self._store(holder)
+        planner = holder.planner
         planner.tick(now=self.now, unix_s=UNIX + self.now)
         for order in planner.plan(
             now=self.now,
             unix_s=UNIX + self.now,
-            may_start=tenant.limit - self.now > 1.5,
+            may_start=holder.limit - self.now > 1.5,
         ):
             if isinstance(order, StartOrder):
-                self._start(tenant, order)
+                self._start(holder, order)
             elif isinstance(order, StopOrder):
-                tenant.stops.append(order)
-        for order in tenant.stops:
-            self._stop(tenant, order)
-        tenant.stops = [
+                holder.stops.append(order)
+        for order in holder.stops:
+            self._stop(holder, order)
+        holder.stops = [
             order
-            for order in tenant.stops
+            for order in holder.stops
             if (order.task, order.run)
             in getattr(planner.workers.get(order.worker), "runs", {})
         ]
 
-    def _look(self, tenant, name):
+    def _look(self, holder, name):
         model = self.fleet.workers[name]
-        worker = tenant.planner.workers[name]
+        worker = holder.planner.workers[name]
         if name in self.cut or not model.alive:
-            tenant.lost.add(name)
-            tenant.acknowledged.pop(name, None)
+            holder.lost.add(name)
+            holder.acknowledged.pop(name, None)
             return
         lease = None
-        limit = min(self.now + LEASE_S, tenant.limit)
-        if name in tenant.looked and name not in tenant.lost and limit > self.now:
+        limit = min(self.now + LEASE_S, holder.limit)
+        if name in holder.looked and name not in holder.lost and limit > self.now:
             lease = worker.lease_deadline(limit, self.now)
         report = model.hold(
-            token=tenant.token,
-            acknowledged=tenant.acknowledged.get(name, 0),
+            token=holder.token,
+            acknowledged=holder.acknowledged.get(name, 0),
             lease_until_s=lease,
             now=self.now,
         )
         if report is None:
-            tenant.fenced = True
+            holder.fenced = True
             return
-        tenant.looked.add(name)
-        tenant.lost.discard(name)
-        tenant.planner.report(
+        holder.looked.add(name)
+        holder.lost.discard(name)
+        holder.planner.report(
             name, report, sent_at=self.now, now=self.now, unix_s=UNIX + self.now
         )
-        if report.ended and self._store(tenant):
-            tenant.acknowledged[name] = max(end.sequence for end in report.ended)
+        if report.ended and self._store(holder):
+            holder.acknowledged[name] = max(end.sequence for end in report.ended)
             self.done |= {e.task for e in report.ended if e.how is EndKind.DONE}
 
-    def _store(self, tenant):
+    def _store(self, holder):
         """Store what has changed under the lease and return whether all is stored."""
-        if not self.store_up or tenant is not self.leader:
+        if not self.store_up or holder is not self.leader:
             return False
-        for name in tenant.planner.dirty:
-            self.progress[name] = tenant.planner.jobs[name].progress()
-        tenant.planner.dirty = set()
+        for name in holder.planner.dirty:
+            self.progress[name] = holder.planner.jobs[name].progress()
+        holder.planner.dirty = set()
         self.revision += 1
-        tenant.planner.confirm(self.revision)
-        self.roster = tenant.planner.rostered = frozenset(tenant.planner.workers)
-        tenant.confirmed_at = self.now
+        holder.planner.confirm(self.revision)
+        self.roster = holder.planner.rostered = frozenset(holder.planner.workers)
+        holder.confirmed_at = self.now
         return True
 
-    def _start(self, tenant, order):
+    def _start(self, holder, order):
         model = self.fleet.workers[order.worker]
-        worker = tenant.planner.workers[order.worker]
-        lease = worker.lease_deadline(min(self.now + LEASE_S, tenant.limit), self.now)
+        worker = holder.planner.workers[order.worker]
+        lease = worker.lease_deadline(min(self.now + LEASE_S, holder.limit), self.now)
 
         def apply():
             outcome = model.start(
                 order.task,
                 order.run,
                 saved=order.saved,
-                token=tenant.token,
+                token=holder.token,
                 lease_until_s=lease,
                 now=self.now,
             )
@@ -207,9 +207,9 @@
         elif order.worker not in self.cut and model.alive:
             outcome = apply()
         if outcome is StartOutcome.FENCED:
-            tenant.fenced = True
+            holder.fenced = True
             return
-        tenant.planner.start_answered(
+        holder.planner.start_answered(
             order,
             outcome,
             certain=outcome is not StartOutcome.UNKNOWN,
@@ -217,12 +217,12 @@
             unix_s=UNIX + self.now,
         )
 
-    def _stop(self, tenant, order):
+    def _stop(self, holder, order):
         model = self.fleet.workers[order.worker]
         if order.worker in self.cut or not model.alive:
             return
-        outcome = model.stop(order.task, order.run, token=tenant.token, now=self.now)
-        tenant.planner.stop_answered(order, outcome, now=self.now)
+        outcome = model.stop(order.task, order.run, token=holder.token, now=self.now)
+        holder.planner.stop_answered(order, outcome, now=self.now)
 
 
 def truth(work_s, demand, *, gang_size=1, save_s=0.0):
