--- a/libs/planner/src/bilberryhitch_planner/tenure.py
+++ b/libs/planner/src/bilberryhitch_planner/tenure.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
-from bilberryhitch_jobs import Expected, Row, Store, Write
+from bilberryhitch_jobs import Expected, Row, Snapshot, Store, Write
 from bilberryhitch_jobs.errors import STORE_ERRORS, CommitConflict, HistoryLost
 from bilberryhitch_telemetry import events, log
 
@@ -133,24 +133,31 @@
         watch = asyncio.create_task(
             self._store.watch(LEASE_TABLE, self._revision, SILENCE_S)
         )
+        try:
+            await self._until_changed_or_ended(lease, watch)
+            if not watch.done():
+                return False
+            changes = watch.result()
+        finally:
+            watch.cancel()
+        self._revision = max(self._revision, changes.revision)
+        rows = [row for row in changes.rows if row.key == LEASE_KEY]
+        if rows:
+            self._note(rows[-1])
+        return bool(rows)
+
+    async def _until_changed_or_ended(
+        self, lease: LeaseRow, watch: "asyncio.Task[Snapshot]"
+    ) -> None:
         probe = self._probe_of(lease.address)
         await asyncio.wait(
             (watch, probe) if probe else (watch,), return_when=asyncio.FIRST_COMPLETED
         )
-        if not watch.done() and probe is not None:
+        if not watch.done():
             self._drop_probe()
             log(events.PLANNER_PROCESS_ENDED, holder=lease.holder)
             # Other candidates notice in the same moment; one acquisition is enough.
             await asyncio.wait((watch,), timeout=random.uniform(0.0, RUSH_S))
-        if not watch.done():
-            watch.cancel()
-            return False
-        changes = watch.result()
-        self._revision = max(self._revision, changes.revision)
-        rows = [row for row in changes.rows if row.key == LEASE_KEY]
-        if rows:
-            self._note(rows[-1])
-        return bool(rows)
 
     def _probe_of(self, address: str) -> asyncio.Task[None] | None:
         """Return the task that ends with the process at an address."""
--- a/libs/planner/tests/test_tenure.py
+++ b/libs/planner/tests/test_tenure.py
@@ -307,3 +307,23 @@
         assert store.rows["summary", "waiting"].value == b"{}"
 
     run_virtual(scene())
+
+
+def test_a_candidate_that_is_stopped_leaves_nothing_behind():
+    """Guards against calls to the store that outlive its client."""
+
+    async def scene():
+        store = MemoryStore()
+        await Campaign(store, "a/1", "ip:1").win()
+
+        async def ended(_address):
+            await asyncio.Event().wait()
+
+        rival = asyncio.create_task(Campaign(store, "b/1", "ip:2", ended).win())
+        await asyncio.sleep(SILENCE_S / 4)
+        rival.cancel()
+        await asyncio.wait((rival,))
+        await asyncio.sleep(0)
+        assert asyncio.all_tasks() == {asyncio.current_task()}
+
+    run_virtual(scene())
