--- a/libs/jobs/src/bilberryhitch_jobs/progress.py
+++ b/libs/jobs/src/bilberryhitch_jobs/progress.py
@@ -59,6 +59,8 @@
     steps: list[Step]
 
 
+# Raised for the value of another writer: wrong format, invalid UTF-8, deep nesting.
+UNREADABLE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _encode = msgspec.msgpack.Encoder().encode
 _progress_decoder = msgspec.msgpack.Decoder(_ProgressRow)
 _request_decoder = msgspec.msgpack.Decoder(_RequestRow)
@@ -94,7 +96,7 @@
     """
     try:
         row = _progress_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise RowUnreadable(key, str(error)) from error
     return JobProgress(
         row.state,
@@ -140,7 +142,7 @@
     """
     try:
         row = _request_decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise RowUnreadable(key, str(error)) from error
     return JobRequest(
         row.job,
