Confine unexpected errors, count suspensions in leases, confirm machine lists

After a suspension the leader lease, the limit of worker leases and the freshness needed for upkeep orders looked younger than they were. The planner now reads CLOCK_BOOTTIME (bilberryhitch_model.clock) and checks the limit again right before each attempt of a start.

--- a/libs/jobs/src/bilberryhitch_jobs/__init__.py
+++ b/libs/jobs/src/bilberryhitch_jobs/__init__.py
@@ -29,9 +29,10 @@
     TaskName,
 )
 from .rows import ExpectedRevision, RowRemoval, RowSnapshot, RowWrite, Store, StoreRow
-from .table_watcher import TableWatcher
+from .table_watcher import TableWatcher, apply_row
 
 __all__ = [
+    "apply_row",
     "FINISHED_STATES",
     "GANG_INDEX",
     "JobOperations",
--- a/libs/jobs/src/bilberryhitch_jobs/job_operations.py
+++ b/libs/jobs/src/bilberryhitch_jobs/job_operations.py
@@ -12,6 +12,7 @@
 from enum import Enum, auto
 
 import msgspec
+from bilberryhitch_model.errors import BadInput
 from bilberryhitch_telemetry import events, log
 
 from .errors import CommitConflict, StoreRefused, StoreUnknown
@@ -28,6 +29,7 @@
 PROGRESS_TABLE = "progress"
 SUMMARY_TABLE = "summary"
 WAITING_KEY = "waiting"
+DEFAULT_MAX_ROW_BYTES = 65_536
 # A cancellation is a row of its own beside the request, under "JOB.c".
 CANCEL_SUFFIX = ".c"
 # "/" follows "." in the order of keys, so this bounds the range of "JOB" and "JOB.c".
@@ -70,20 +72,31 @@
     Deadlines are times of the monotonic clock in seconds.
 
     :param now: monotonic clock in seconds
+    :param max_row_bytes: largest value of a row that the store takes
     """
 
-    def __init__(self, store: Store, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        store: Store,
+        now: Callable[[], float] = time.monotonic,
+        max_row_bytes: int = DEFAULT_MAX_ROW_BYTES,
+    ) -> None:
         self._store = store
         self._now = now
+        self._max_row_bytes = max_row_bytes
 
     async def accept(self, request: JobRequest, deadline: float) -> OperationResult:
         """Store a job unless its identifier is taken.
 
         :param deadline: time at which the caller stops waiting
         :returns: ``DONE`` also if a job of that identifier is already stored
+        :raises BadInput: if the job is larger than a row, so that no host can store it
         """
         job = request.job
         write = RowWrite(JOBS_TABLE, job, encode_request(request))
+        if len(write.value) > self._max_row_bytes:
+            rule = f"takes at most {self._max_row_bytes} bytes when stored"
+            raise BadInput("steps", len(write.value), rule)
 
         async def attempt(timeout_s: float) -> OperationResult:
             # A conflict means that the job is already stored.
--- a/libs/jobs/src/bilberryhitch_jobs/table_watcher.py
+++ b/libs/jobs/src/bilberryhitch_jobs/table_watcher.py
@@ -63,13 +63,13 @@
         if self._revision is None:
             snapshot = await read_partitions(self._store, self._table, self._partitions)
             self._note_response()
-            self._revision = snapshot.revision
             self._on_snapshot(snapshot.rows, snapshot.revision)
+            self._revision = snapshot.revision
             return
         changes = await self._store.watch(self._table, self._revision, WATCH_WAIT_S)
         self._note_response()
         for row in changes.rows:
-            self._on_change(row)
+            apply_row(self._on_change, row)
         self._revision = max(self._revision, changes.revision)
 
     def _note_response(self) -> None:
@@ -88,6 +88,19 @@
             )
 
 
+def apply_row(on_change: Callable[[StoreRow], None], row: StoreRow) -> None:
+    """Report one row; an unexpected error costs this row and no other."""
+    try:
+        on_change(row)
+    except Exception as error:
+        log(
+            events.UNEXPECTED_ERROR,
+            scope=f"row of {row.table}",
+            key=row.key,
+            error=repr(error),
+        )
+
+
 async def read_partitions(
     store: Store, table: str, partitions: Sequence[str]
 ) -> RowSnapshot:
--- a/libs/jobs/tests/test_job_api.py
+++ b/libs/jobs/tests/test_job_api.py
@@ -27,6 +27,7 @@
 from bilberryhitch_jobs.errors import CommitConflict, StoreRefused, StoreUnknown
 from bilberryhitch_jobs.job_operations import OperationResult
 from bilberryhitch_jobs.rows import StoreRow
+from bilberryhitch_model.errors import BadInput
 from bilberryhitch_testing import run_virtual
 
 JOB = "0" * 16
@@ -126,6 +127,21 @@
     )
 
 
+def test_a_job_larger_than_a_row_is_invalid():
+    """Guards against a caller that is told to come back with a job that no host can
+    ever store.
+    """
+    content = CONTENT._replace(spec="x" * 70_000)
+
+    async def run():
+        api = job_api(Store())
+        call = api.admit("h", "/q/" + JOB, "k")
+        return await api.submit(call, content, time.monotonic() + 0.5)
+
+    with pytest.raises(BadInput, match="stored"):
+        asyncio.run(run())
+
+
 def test_the_same_identifier_is_one_job():
     store = Store()
     assert submit(store).kind is ReplyKind.ACCEPTED
--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -8,13 +8,13 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
 import msgspec
 from bilberryhitch_jobs import ExpectedRevision, RowSnapshot, RowWrite, Store, StoreRow
 from bilberryhitch_jobs.errors import STORE_ERRORS, CommitConflict, HistoryLost
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .liveness import wait_for_process_end
@@ -91,7 +91,7 @@
         self._probed = ""
         self._row: StoreRow | None = None
         self._revision = 0
-        self._changed_at = self._tried_at = time.monotonic()
+        self._changed_at = self._tried_at = clock.steady_s()
 
     async def acquire(self) -> LeaderLease:
         """Wait until this process holds the lease."""
@@ -189,7 +189,7 @@
     async def _commit_acquisition(self, previous: LeaseRow) -> LeaderLease | None:
         value = LeaseRow(self._holder, 0, 0, self._address)
         present = self._row.revision if self._row else 0
-        self._tried_at = time.monotonic()
+        self._tried_at = clock.steady_s()
         try:
             revision = await self._store.commit(
                 (ExpectedRevision(LEASE_TABLE, LEASE_KEY, present),),
@@ -203,7 +203,7 @@
             events.PLANNER_LEASE_WON,
             fencing_token=revision,
             former=previous.holder,
-            former_silent_s=round(time.monotonic() - self._changed_at, 3),
+            former_silent_s=round(clock.steady_s() - self._changed_at, 3),
         )
         return self._leader_lease(revision)
 
@@ -216,7 +216,7 @@
         if row is not None and row.removed:
             row = None
         if (row and row.revision) != (self._row and self._row.revision):
-            self._changed_at = time.monotonic()
+            self._changed_at = clock.steady_s()
         self._row = row
 
 
--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -19,18 +19,26 @@
 )
 from bilberryhitch_jobs.errors import STORE_ERRORS, RowUnreadable
 from bilberryhitch_jobs.job_operations import CANCEL_SUFFIX, JOB_PARTITIONS, JOBS_TABLE
-from bilberryhitch_jobs.table_watcher import TableWatcher
+from bilberryhitch_jobs.table_watcher import TableWatcher, apply_row
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .errors import Deposed, Isolated, MachinesUnknown, WorkerFenced
 from .event_wait import wait_for_event
 from .leader_election import WORKER_LEASE_HORIZON_S, LeaderLease
 from .planner import Planner
-from .reports import Advice, AdviceRequest, WorkerEntry
+from .reports import (
+    Advice,
+    AdviceRequest,
+    Order,
+    StartOrder,
+    StartOutcome,
+    WorkerEntry,
+)
 from .state_writer import StateWriter, read_progress, read_roster
 from .upkeep import UpkeepCalls, UpkeepController, Wave
 from .worker_calls import WorkerCalls
-from .worker_session import WorkerSession
+from .worker_session import MIN_LEASE_S, WorkerSession
 from .workers import CLOCK_DRIFT, LEASE_SLACK_S
 
 # Longest time between two scheduling rounds; bounds the delay of time-driven orders.
@@ -44,11 +52,13 @@
 # with this period. The list itself may be one second old.
 MACHINE_CHECK_SILENCE_S = 1.8
 MACHINE_CHECK_PERIOD_S = 0.5
+MACHINE_CONFIRMATION_PAUSE_S = 0.1
 # Releasing the lease must leave most of the shutdown time to open requests.
 RELEASE_TIMEOUT_S = 1.5
 CANCEL_PERIOD_S = 0.2
-# No run is started with a shorter lease: it must cover the next heartbeats.
-MIN_LEASE_S = 1.5
+# Pauses before a session or a candidate continues after an unexpected error.
+SESSION_RESTART_PAUSE_S = 0.2
+CANDIDATE_RESTART_PAUSE_S = 0.5
 # After a takeover, unreachable workers are ignored for this long.
 ISOLATION_GRACE_S = 3.0
 
@@ -124,7 +134,7 @@
         self._inherited: dict[str, JobProgress] = {}
         self._sessions: dict[str, WorkerSession] = {}
         self._group: asyncio.TaskGroup | None = None
-        self._connected_at = time.monotonic() + ISOLATION_GRACE_S
+        self._connected_at = clock.steady_s() + ISOLATION_GRACE_S
 
     async def run(self) -> None:
         """Plan until another host holds the lease or most workers are unreachable.
@@ -147,7 +157,7 @@
         while True:
             try:
                 for name in await read_roster(self._store):
-                    self.planner.add_unregistered_worker(name, now=time.monotonic())
+                    self.planner.add_unregistered_worker(name, now=clock.steady_s())
                 # No other host writes progress while this one holds the lease.
                 self._inherited = await read_progress(self._store)
                 await self._jobs.poll()
@@ -163,14 +173,14 @@
             if await wait_for_event(self._wake, PLAN_PERIOD_S):
                 await asyncio.sleep(BATCH_DELAY_S)
             self._wake.clear()
-            now, unix_s = time.monotonic(), time.time()
+            now, unix_s = clock.steady_s(), time.time()
             self._adopt_configuration()
             self.planner.tick(now=now, unix_s=unix_s)
             may_start = self.state_writer.worker_lease_limit - now > MIN_LEASE_S
             for order in self.planner.plan(now=now, unix_s=unix_s, may_start=may_start):
                 session = self._sessions.get(order.worker)
                 if session is not None:
-                    self._spawn(session.send(order))
+                    self._spawn(self._send(session, order))
             requests, self.planner.advice_requests = self.planner.advice_requests, []
             for request in requests:
                 self._spawn(self._request_advice(request))
@@ -179,7 +189,7 @@
 
     async def _request_advice(self, request: AdviceRequest) -> None:
         advice = await self._advise(request)
-        self.planner.apply_advice(request, advice, now=time.monotonic())
+        self.planner.apply_advice(request, advice, now=clock.steady_s())
         self._changed()
 
     async def _check_silent_workers(self) -> None:
@@ -190,20 +200,27 @@
         """
         while True:
             await asyncio.sleep(MACHINE_CHECK_PERIOD_S)
-            silent = self._silent_workers(time.monotonic())
-            if not silent:
-                continue
-            try:
-                machines = await self._machines.list_machines()
-            except MachinesUnknown as error:
-                log(events.MACHINES_UNKNOWN, error=error, silent=len(silent))
-                continue
-            present = {machine.worker for machine in machines if machine.up}
-            for name in silent:
-                if name not in present:
-                    now = time.monotonic()
-                    self.planner.remove_ended_worker(name, now=now, unix_s=time.time())
-                    self._changed()
+            absent = await self._absent(self._silent_workers(clock.steady_s()))
+            if absent:
+                # A list is read page by page while it changes, so a machine can be
+                # missing from one although it is up.
+                await asyncio.sleep(MACHINE_CONFIRMATION_PAUSE_S)
+                absent &= await self._absent(self._silent_workers(clock.steady_s()))
+            for name in sorted(absent):
+                now = clock.steady_s()
+                self.planner.remove_ended_worker(name, now=now, unix_s=time.time())
+                self._changed()
+
+    async def _absent(self, silent: list[str]) -> set[str]:
+        """Return the silent workers whose machines are not listed as up."""
+        if not silent:
+            return set()
+        try:
+            machines = await self._machines.list_machines()
+        except MachinesUnknown as error:
+            log(events.MACHINES_UNKNOWN, error=error, silent=len(silent))
+            return set()
+        return set(silent) - {machine.worker for machine in machines if machine.up}
 
     def _silent_workers(self, now: float) -> list[str]:
         """Return unresponsive workers that may have runs."""
@@ -248,7 +265,7 @@
 
     def _load_jobs(self, rows: tuple[StoreRow, ...], revision: int) -> None:
         for row in rows:
-            self._apply_job_row(row)
+            apply_row(self._apply_job_row, row)
         log(events.JOBS_LOADED, jobs=len(self.planner.jobs), revision=revision)
 
     def _apply_job_row(self, row: StoreRow) -> None:
@@ -272,7 +289,7 @@
             progress = JobProgress(JobState.PENDING, request.account, {})
         self._adopt_configuration()
         self.planner.add_job(
-            request, progress, row.revision, now=time.monotonic(), unix_s=time.time()
+            request, progress, row.revision, now=clock.steady_s(), unix_s=time.time()
         )
 
     # Worker rows.
@@ -281,12 +298,12 @@
         present = {row.key for row in rows}
         for name in list(self.planner.workers):
             if name not in present:
-                self.planner.mark_unregistered(name, now=time.monotonic())
+                self.planner.mark_unregistered(name, now=clock.steady_s())
         for row in rows:
-            self._apply_worker_row(row)
+            apply_row(self._apply_worker_row, row)
 
     def _apply_worker_row(self, row: StoreRow) -> None:
-        now = time.monotonic()
+        now = clock.steady_s()
         if row.removed:
             log(events.WORKER_UNLISTED, worker=row.key, revision=row.revision)
             self.planner.mark_unregistered(row.key, now=now)
@@ -319,11 +336,37 @@
         self._changed()
 
     async def _run_session(self, name: str, session: WorkerSession) -> None:
+        """Run a session; an unexpected error restarts this session and no other."""
         try:
-            await session.run()
+            while name in self.planner.workers:
+                try:
+                    await session.run()
+                except WorkerFenced:
+                    raise
+                except Exception as error:
+                    _log_unexpected("worker", name, error)
+                    await asyncio.sleep(SESSION_RESTART_PAUSE_S)
         finally:
             self._sessions.pop(name, None)
 
+    async def _send(self, session: WorkerSession, order: Order) -> None:
+        """Send an order; after an unexpected error its outcome is unknown."""
+        try:
+            await session.send(order)
+        except WorkerFenced:
+            raise
+        except Exception as error:
+            _log_unexpected("order to worker", order.worker, error)
+            if isinstance(order, StartOrder):
+                self.planner.apply_start_outcome(
+                    order,
+                    StartOutcome.UNKNOWN,
+                    certain=False,
+                    now=clock.steady_s(),
+                    unix_s=time.time(),
+                )
+                self._changed()
+
 
 class Candidate:
     """Competes for the leader lease and plans while this host holds it.
@@ -368,7 +411,12 @@
 
     async def _run(self) -> None:
         while not self._closing:
-            leader_lease = await self._acquire_lease()
+            try:
+                leader_lease = await self._acquire_lease()
+            except Exception as error:
+                log(events.TASK_FAILED, error=repr(error))
+                await asyncio.sleep(CANDIDATE_RESTART_PAUSE_S)
+                continue
             planner = self._active = self._create_planner(leader_lease)
             log(events.PLANNER_STARTED, fencing_token=leader_lease.token)
             try:
@@ -382,7 +430,7 @@
                 await self._release(planner)
                 await asyncio.sleep(ISOLATION_TIMEOUT_S)
             except* Exception as group:
-                log(events.TASK_FAILED, error=group.exceptions[0])
+                log(events.TASK_FAILED, error=repr(group.exceptions[0]))
             finally:
                 self._active = None
 
@@ -394,6 +442,10 @@
             log(events.PLANNER_RELEASE_FAILED, error=error)
 
 
+def _log_unexpected(scope: str, key: str, error: Exception) -> None:
+    log(events.UNEXPECTED_ERROR, scope=scope, key=key, error=repr(error))
+
+
 def _log_end(
     leader_lease: LeaderLease, group: BaseExceptionGroup[BaseException]
 ) -> None:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -401,7 +401,7 @@
         for step in self._steps_in_order(now) if may_start else ():
             confirmed = step.job.revision <= self._confirmed_revision
             if confirmed and step.job.request.due_s(step.occurrence) <= unix_s:
-                round_.place_step(step)
+                _place_step(round_, step)
         self._reservations = round_.reserved
         self.advice_requests += round_.advice_requests
         orders, self._state.orders = self._state.orders, []
@@ -419,3 +419,16 @@
     def _steps_in_order(self, now: float) -> list[StepOccurrence]:
         steps = [step for step in self._state.ready.values() if step.waiting]
         return sorted(steps, key=lambda step: step_sort_key(step, now))
+
+
+def _place_step(round_: SchedulingRound, step: StepOccurrence) -> None:
+    """Place a step; an unexpected error costs this step and no other."""
+    try:
+        round_.place_step(step)
+    except Exception as error:
+        log(
+            events.UNEXPECTED_ERROR,
+            scope="placement of job",
+            key=step.job.request.job,
+            error=repr(error),
+        )
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -34,6 +34,7 @@
     WAITING_KEY,
     job_partition,
 )
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .errors import Deposed
@@ -142,7 +143,7 @@
     @property
     def lease_is_fresh(self) -> bool:
         """Whether the lease was confirmed too recently for another host to hold it."""
-        return time.monotonic() - self._confirmed_at < LEASE_EXPIRY_S / 2
+        return clock.steady_s() - self._confirmed_at < LEASE_EXPIRY_S / 2
 
     @property
     def _pending(self) -> bool:
@@ -177,7 +178,7 @@
         :raises Deposed: if another host holds the lease
         """
         while True:
-            now = time.monotonic()
+            now = clock.steady_s()
             if not self._pending and not self._renewal_due(now):
                 due = max(self._renewed_at + RENEWAL_PERIOD_S - now, MIN_WAIT_S)
                 self._changed.clear()
@@ -265,7 +266,7 @@
             lease, None keeps it
         :raises Deposed: if another host holds the lease
         """
-        now = time.monotonic()
+        now = clock.steady_s()
         names = self._pop_dirty()
         # Changes beyond the row limit are left to a later transaction.
         all_taken = not self._planner.dirty
--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -9,6 +9,7 @@
 import msgspec
 from bilberryhitch_jobs import RowWrite, Store
 from bilberryhitch_jobs.errors import STORE_ERRORS
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .errors import MachinesUnknown, WorkerFenced
@@ -266,7 +267,7 @@
         for name in wave_state.unanswered(machines):
             if self._cost(machines[name]) is not None:
                 await self._order(wave_state, machines[name])
-        due = wave_state.select(machines, self._cost, time.monotonic())
+        due = wave_state.select(machines, self._cost, clock.steady_s())
         self._update_cordon(machines)
         for name in due:
             wave_state.ordered[name] = machines[name].worker
@@ -288,7 +289,7 @@
         outcome = await self._calls.begin_upkeep(
             machine.name, wave_state.wave.number, token=self._token
         )
-        now = time.monotonic()
+        now = clock.steady_s()
         log(
             events.UPKEEP_ORDERED,
             wave=wave_state.wave.number,
@@ -330,7 +331,7 @@
         worker = self._planner.workers.get(machine.worker)
         if worker is None:
             return 0.0
-        return takedown_cost(worker, time.monotonic())
+        return takedown_cost(worker, clock.steady_s())
 
 
 def takedown_cost(worker: Worker, now: float) -> float | None:
--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .cluster_state import format_task
@@ -27,6 +28,8 @@
 # Lease of the runs on a worker. It is the longest that the platform grants, so that
 # runs survive network partitions of several seconds.
 LEASE_S = 10.0
+# No run is started with a shorter lease: it must cover the next heartbeats.
+MIN_LEASE_S = 1.5
 # How long the worker holds a heartbeat open while no run ends. This is also the
 # period of lease renewals and progress updates. A stalled run is detected after
 # three heartbeats, and an urgent run has little more than one second of slack.
@@ -84,12 +87,12 @@
         """
         wait_s = 0.0
         while self._name in self._planner.workers:
-            sent_at = time.monotonic()
+            sent_at = clock.steady_s()
             try:
                 reply = await self._send_heartbeat(sent_at, wait_s)
             except WorkerGone:
                 self._planner.remove_ended_worker(
-                    self._name, now=time.monotonic(), unix_s=time.time()
+                    self._name, now=clock.steady_s(), unix_s=time.time()
                 )
                 self._on_change()
                 return
@@ -105,7 +108,7 @@
                 self._name,
                 reply,
                 sent_at=sent_at,
-                now=time.monotonic(),
+                now=clock.steady_s(),
                 unix_s=time.time(),
             )
             self._on_change()
@@ -165,8 +168,13 @@
             run = worker.runs.get((order.task, order.run)) if worker else None
             if worker is None or run is None or run.state is not RunState.ORDERED:
                 return
-            now = time.monotonic()
+            now = clock.steady_s()
             limit = min(now + LEASE_S, self._state_writer.worker_lease_limit)
+            if limit - now < MIN_LEASE_S:
+                # Since the round that placed the run, the process may have been
+                # paused or its lease not been renewed.
+                outcome = StartOutcome.LATE
+                break
             outcome = await self._calls.start_run(
                 worker.entry,
                 order,
@@ -178,7 +186,7 @@
             if outcome is not StartOutcome.UNKNOWN:
                 break
             certain = False
-        now = time.monotonic()
+        now = clock.steady_s()
         if outcome is StartOutcome.GONE:
             self._planner.remove_ended_worker(self._name, now=now, unix_s=time.time())
             return
@@ -192,7 +200,7 @@
             if worker is None or (order.task, order.run) not in worker.runs:
                 return
             outcome = await self._calls.stop_run(worker.entry, order, token=self._token)
-            now = time.monotonic()
+            now = clock.steady_s()
             if outcome is StopOutcome.FENCED:
                 raise WorkerFenced(self._name)
             if outcome is StopOutcome.GONE:
--- a/libs/planner/tests/test_leader_election.py
+++ b/libs/planner/tests/test_leader_election.py
@@ -1,12 +1,12 @@
 """Tests of the leader lease and the state writer with a store in memory."""
 
 import asyncio
-from types import SimpleNamespace
 
 import pytest
 from bilberryhitch_jobs import JobProgress, JobRequest, JobState, Queue, RowSnapshot
 from bilberryhitch_jobs.errors import CommitConflict, StoreUnknown
 from bilberryhitch_jobs.rows import StoreRow
+from bilberryhitch_model import clock
 from bilberryhitch_planner import Deposed, LeaderElection, Planner
 from bilberryhitch_planner.leader_election import (
     LEASE_EXPIRY_S,
@@ -26,11 +26,7 @@
 @pytest.fixture(autouse=True)
 def loop_clock(monkeypatch):
     """Replace the clock of the tested modules by that of the event loop."""
-    clock = SimpleNamespace(
-        monotonic=lambda: asyncio.get_running_loop().time(), time=lambda: 0.0
-    )
-    monkeypatch.setattr("bilberryhitch_planner.state_writer.time", clock)
-    monkeypatch.setattr("bilberryhitch_planner.leader_election.time", clock)
+    monkeypatch.setattr(clock, "steady_s", lambda: asyncio.get_running_loop().time())
 
 
 class MemoryStore:
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -6,6 +6,7 @@
 import pytest
 from bilberryhitch_jobs import RowSnapshot, RowWrite
 from bilberryhitch_jobs.errors import StoreUnknown
+from bilberryhitch_model import clock
 from bilberryhitch_planner import Machine, UpkeepOutcome, Wave, WorkerFenced
 from bilberryhitch_planner.upkeep import UpkeepController, WaveState, takedown_cost
 from bilberryhitch_testing import run_virtual
@@ -168,10 +169,7 @@
 
 @pytest.fixture(autouse=True)
 def loop_clock(monkeypatch):
-    clock = SimpleNamespace(
-        monotonic=lambda: asyncio.get_running_loop().time(), time=lambda: 0.0
-    )
-    monkeypatch.setattr("bilberryhitch_planner.upkeep.time", clock)
+    monkeypatch.setattr(clock, "steady_s", lambda: asyncio.get_running_loop().time())
 
 
 @pytest.mark.parametrize("lost", [0, 2])
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -61,6 +61,13 @@
 LIBRARY_MESSAGE = Event(
     1007, "library_message", "WARNING", "A library wrote a log message."
 )
+UNEXPECTED_ERROR = Event(
+    1008,
+    "unexpected_error",
+    "ERROR",
+    "An unexpected error was confined to the named row, job, worker or call.",
+    "Report the logged error.",
+)
 SETTINGS_INVALID = Event(
     1101,
     "settings_invalid",
