Notice a silent store within half a second; relay store calls through another host

A host that the store turns away refused its callers although the store served other hosts.

Change: StoreHealth counts the store as silent when a call is 0.5 s overdue and nothing else is answered; then calls are not sent, callers are refused at once, and a probe each 0.15 s finds the store's return. After a certain refusal a call is made again through a host that was last seen to hold the planner's lease (StoreRelay, on the first port of port-range).

Ruled out: answering the calls that were sent with a refusal; they may be stored.

--- a/libs/jobs/src/bilberryhitch_jobs/__init__.py
+++ b/libs/jobs/src/bilberryhitch_jobs/__init__.py
@@ -28,10 +28,15 @@
     Step,
     TaskName,
 )
+from .relaying_store import RelayingStore
 from .rows import ExpectedRevision, RowRemoval, RowSnapshot, RowWrite, Store, StoreRow
+from .store_health import StoreHealth, probe_while_silent
 from .table_watcher import TableWatcher, apply_row
 
 __all__ = [
+    "RelayingStore",
+    "StoreHealth",
+    "probe_while_silent",
     "apply_row",
     "FINISHED_STATES",
     "GANG_INDEX",
--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -29,6 +29,7 @@
 # Random delay that spreads the acquisitions of candidates that detect the end of the
 # holder's process at the same moment.
 ACQUISITION_JITTER_S = 0.15
+MAX_SEEN_ADDRESSES = 3
 # Worker leases end at most this long after the last confirmed renewal of the leader
 # lease. A successor waits this long for workers that it cannot reach.
 WORKER_LEASE_HORIZON_S = 12.0
@@ -92,6 +93,12 @@
         self._row: StoreRow | None = None
         self._revision = 0
         self._changed_at = self._tried_at = clock.steady_s()
+        self._seen_addresses: tuple[str, ...] = ()
+
+    @property
+    def seen_addresses(self) -> tuple[str, ...]:
+        """Addresses of other hosts that held the lease, the latest one first."""
+        return self._seen_addresses
 
     async def acquire(self) -> LeaderLease:
         """Wait until this process holds the lease."""
@@ -218,6 +225,10 @@
         if (row and row.revision) != (self._row and self._row.revision):
             self._changed_at = clock.steady_s()
         self._row = row
+        address = decode_lease(row).address
+        if address not in ("", self._address, *self._seen_addresses[:1]):
+            others = [each for each in self._seen_addresses if each != address]
+            self._seen_addresses = (address, *others[: MAX_SEEN_ADDRESSES - 1])
 
 
 def _host(holder: str) -> str:
--- a/tests/path/platform_deployment.py
+++ b/tests/path/platform_deployment.py
@@ -86,14 +86,15 @@
         return self.store.listener.address
 
     def launch(self, name):
-        ports = self.ports.setdefault(name, (free_port(), free_port(), free_port()))
-        front, ready, metrics = ports
+        ports = self.ports.setdefault(name, tuple(free_port() for _ in range(4)))
+        front, ready, metrics, relay = ports
         settings = {
             "node-name": name,
             "zone": "dc",
             "ip": "127.0.0.1",
             "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
             "metrics-port": metrics,
+            "port-range": [relay, relay],
             "platform": {"address": self.get_store_address(name), "row-bytes": 65536},
             "timing-bounds": {"grace-s": 3, "status_s": 120},
         }
--- a/tests/path/test_platform_path.py
+++ b/tests/path/test_platform_path.py
@@ -6,9 +6,9 @@
 from tests.path.platform_deployment import CALLER_HEADERS, Deployment, job_body, job_id
 
 
-def run_scenario(folder, scenario, work_s=0.3, **sizes):
+def run_scenario(folder, scenario, work_s=0.3, deployment_type=Deployment, **sizes):
     async def run():
-        deployment = Deployment(folder, work_s)
+        deployment = deployment_type(folder, work_s)
         try:
             await deployment.start(**sizes)
             await scenario(deployment)
