Choose a refused caller's delay by its remaining time and the outage so far

Cause: callers were told to return after 2 s once an outage had lasted for 1.2 s, which leaves two attempts in three seconds, the last of them often after the deadline. Change: retry_delay_s: at least a second, as long as the outage has lasted, at most a third of the remaining time, nothing if no whole second fits. The test that asked for 2 s in a long outage is replaced: it now asks that callers with 12 s span them, that those with 3 s keep three attempts, and that none is told to come back after it has stopped waiting.

--- a/libs/jobs/src/bilberryhitch_jobs/job_api.py
+++ b/libs/jobs/src/bilberryhitch_jobs/job_api.py
@@ -10,18 +10,15 @@
 from .configuration import Configuration, Queue
 from .job_operations import JobOperations, OperationResult
 from .records import JobRequest, JobState, Schedule, Step
+from .retry_delay import retry_delay_s
 
 # The store counts as unreachable after this time without a response: the watch of the
 # configuration gets one at least once a second.
 STORE_UNREACHABLE_AFTER_S = 2.0
 # Readiness ends earlier, as sending new callers to another host costs nothing.
 UNREADY_AFTER_S = 1.3
-# A short disturbance is over within a second, and another host may answer then.
-RETRY_AFTER_S = 1
-# An outage that has lasted this long goes on for seconds: callers that give up after
-# a few attempts must not spend them all within it.
-LONG_OUTAGE_AFTER_S = 1.2
-LONG_RETRY_AFTER_S = 2
+# A host without a configuration has just started and will have one soon.
+NO_CONFIGURATION_DELAY_S = 1
 
 
 class ReplyKind(Enum):
@@ -43,7 +40,8 @@
 
     :param state: for ``STATE``
     :param waiting: for ``WAITING``: number of jobs that have not started
-    :param retry_after_s: for ``NOT_RUN``: delay before the caller's next attempt
+    :param retry_after_s: for ``NOT_RUN``: delay before the caller's next attempt; 0 to
+        leave it to the caller
     """
 
     kind: ReplyKind
@@ -116,7 +114,7 @@
         """
         configuration = self._configuration()
         if configuration is None:
-            return self._not_run("no_configuration", path)
+            return _not_run("no_configuration", path, NO_CONFIGURATION_DELAY_S)
         queue = configuration.find_queue(host, path)
         if queue is None:
             return JobReply(ReplyKind.NO_QUEUE)
@@ -139,7 +137,7 @@
     ) -> JobReply:
         """Accept a job."""
         if not self.store_reachable:
-            return self._not_run("store_unreachable", call.subpath)
+            return self._refuse("store_unreachable", call.subpath, deadline)
         request = JobRequest(
             call.subpath,
             call.queue,
@@ -150,36 +148,39 @@
             content.schedule,
         )
         result = await self._operations.accept(request, deadline)
-        return self._to_reply(result, ReplyKind.ACCEPTED, call.subpath)
+        return self._to_reply(result, ReplyKind.ACCEPTED, call.subpath, deadline)
 
     async def cancel(self, call: AdmittedCall, deadline: float) -> JobReply:
         """Cancel a job."""
         if not self.store_reachable:
-            return self._not_run("store_unreachable", call.subpath)
+            return self._refuse("store_unreachable", call.subpath, deadline)
         result = await self._operations.cancel(call.subpath, call.account, deadline)
-        return self._to_reply(result, ReplyKind.CANCELLED, call.subpath)
+        return self._to_reply(result, ReplyKind.CANCELLED, call.subpath, deadline)
 
     async def get_state(self, call: AdmittedCall, deadline: float) -> JobReply:
         """Return a job's state."""
         result, state = await self._operations.get_state(
             call.subpath, call.account, deadline
         )
-        return self._to_reply(result, ReplyKind.STATE, call.subpath)._replace(
-            state=state
-        )
+        reply = self._to_reply(result, ReplyKind.STATE, call.subpath, deadline)
+        return reply._replace(state=state)
 
     async def count_waiting(self, call: AdmittedCall, deadline: float) -> JobReply:
         """Return the number of jobs of a queue that have not started."""
         count = await self._operations.count_waiting(call.queue.name, deadline)
         if count is None:
-            return self._not_run("store_unreachable", call.queue.name)
+            return self._refuse("store_unreachable", call.queue.name, deadline)
         return JobReply(ReplyKind.WAITING, waiting=count)
 
     def _to_reply(
-        self, result: OperationResult, success: ReplyKind, request_id: str
+        self,
+        result: OperationResult,
+        success: ReplyKind,
+        request_id: str,
+        deadline: float,
     ) -> JobReply:
         if result is OperationResult.REFUSED:
-            return self._not_run("store_refused", request_id)
+            return self._refuse("store_refused", request_id, deadline)
         kinds = {
             OperationResult.DONE: success,
             OperationResult.ABSENT: ReplyKind.NO_JOB,
@@ -187,16 +188,21 @@
         }
         return JobReply(kinds[result])
 
-    def _not_run(self, reason: str, request_id: str) -> JobReply:
-        store_silence_s = self._store_silence_s
-        retry_after_s = RETRY_AFTER_S
-        if store_silence_s > LONG_OUTAGE_AFTER_S:
-            retry_after_s = LONG_RETRY_AFTER_S
-        log(
-            events.CALL_REFUSED,
-            request_id=request_id,
-            reason=reason,
-            store_silent_s=round(min(store_silence_s, 1e6), 3),
-            retry_after_s=retry_after_s,
+    def _refuse(self, reason: str, request_id: str, deadline: float) -> JobReply:
+        delay_s = retry_delay_s(deadline - time.monotonic(), self._store_silence_s)
+        return _not_run(
+            reason, request_id, delay_s, round(min(self._store_silence_s, 1e6), 3)
         )
-        return JobReply(ReplyKind.NOT_RUN, retry_after_s=retry_after_s)
+
+
+def _not_run(
+    reason: str, request_id: str, retry_after_s: int, store_silent_s: float = 0.0
+) -> JobReply:
+    log(
+        events.CALL_REFUSED,
+        request_id=request_id,
+        reason=reason,
+        store_silent_s=store_silent_s,
+        retry_after_s=retry_after_s,
+    )
+    return JobReply(ReplyKind.NOT_RUN, retry_after_s=retry_after_s)
--- a/libs/jobs/tests/test_job_api.py
+++ b/libs/jobs/tests/test_job_api.py
@@ -105,13 +105,13 @@
     )
 
 
-def submit(store, **options):
+def submit(store, timeout_s=3.0, **options):
     async def run():
         api = job_api(store, **options)
         call = api.admit("h", "/q/" + JOB, "k")
         if isinstance(call, JobReply):
             return call
-        return await api.submit(call, CONTENT, time.monotonic() + 0.5)
+        return await api.submit(call, CONTENT, time.monotonic() + timeout_s)
 
     return asyncio.run(run())
 
@@ -213,12 +213,17 @@
     assert store.calls == 1
 
 
-def test_a_long_outage_refuses_without_a_store_call_and_with_a_longer_retry_delay():
-    """Guards against callers with four retries using all of them up in a 5 s outage."""
+@pytest.mark.parametrize(("timeout_s", "delay_s"), [(3.0, 1), (12.5, 4), (0.5, 0)])
+def test_a_long_outage_refuses_without_a_store_call_and_spreads_the_attempts(
+    timeout_s, delay_s
+):
+    """Guards against callers with four retries using all of them up in a 5 s outage,
+    and against callers that are told to return after they have stopped waiting.
+    """
     store = Store()
-    reply = submit(store, silent_s=5.0)
+    reply = submit(store, silent_s=5.0, timeout_s=timeout_s)
     assert reply.kind is ReplyKind.NOT_RUN
-    assert reply.retry_after_s == 2
+    assert reply.retry_after_s == delay_s
     assert store.calls == 0
 
 
