Let waiting candidates pause between two looks at the leader lease

Cause: each renewal, every 0.4 s, woke every candidate: 2.5 store calls a second and host, which grows with the hosts and tells them nothing. Change: after a renewal a candidate pauses for 0.6 to 1.2 s, at random, before it watches the row for the rest of the 1.7 s. The end of the holder's process ends the pause, so that few of the candidates try to acquire the lease. Ruled out: a longer wait of the configuration's watch, whose lost connections must be noticed within the bound for configurations; renewals in a row of their own, which changes what the transactions of the holder are conditional on.

--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -17,6 +17,7 @@
 from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
+from .event_wait import wait_for_event
 from .liveness import wait_for_process_end
 
 LEASE_TABLE = "planner"
@@ -24,6 +25,9 @@
 RENEWAL_PERIOD_S = 0.4
 # Covers two renewal periods and one store call that takes its whole timeout.
 LEASE_EXPIRY_S = 1.7
+# A candidate that wakes for each renewal would cost the store one call per renewal and
+# candidate.
+WATCH_PAUSE_S = (0.6, 1.2)
 CALL_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.2
 # Random delay that spreads the acquisitions of candidates that detect the end of the
@@ -145,11 +149,10 @@
 
         :returns: False if the lease expired or its holder's process ended first
         """
-        watch = asyncio.create_task(
-            self._store.watch(LEASE_TABLE, self._revision, LEASE_EXPIRY_S)
-        )
+        ended = asyncio.Event()
+        watch = asyncio.create_task(self._watch_after_pause(ended))
         try:
-            await self._until_changed_or_ended(lease, watch)
+            await self._until_changed_or_ended(lease, watch, ended)
             if not watch.done():
                 return False
             changes = watch.result()
@@ -161,8 +164,25 @@
             self._observe_row(rows[-1])
         return bool(rows)
 
+    async def _watch_after_pause(self, ended: asyncio.Event) -> RowSnapshot:
+        """Watch the lease row until it expires, without waking for every renewal.
+
+        The random pause spreads the candidates, so that among many of them one soon
+        notices a release or a missing renewal.
+
+        :param ended: ends the pause
+        """
+        pause_s = random.uniform(*WATCH_PAUSE_S)
+        await wait_for_event(ended, pause_s)
+        return await self._store.watch(
+            LEASE_TABLE, self._revision, LEASE_EXPIRY_S - pause_s
+        )
+
     async def _until_changed_or_ended(
-        self, lease: LeaseRow, watch: "asyncio.Task[RowSnapshot]"
+        self,
+        lease: LeaseRow,
+        watch: "asyncio.Task[RowSnapshot]",
+        ended: asyncio.Event,
     ) -> None:
         probe = self._probe_for(lease.address)
         await asyncio.wait(
@@ -171,8 +191,9 @@
         if not watch.done():
             self._cancel_probe()
             log(events.PLANNER_PROCESS_ENDED, holder=lease.holder)
-            # Other candidates detect the end at the same moment: wait for a random
+            # Other candidates detect the end at the same moment: watch for a random
             # time and stop if one of them acquires the lease.
+            ended.set()
             await asyncio.wait(
                 (watch,), timeout=random.uniform(0.0, ACQUISITION_JITTER_S)
             )
--- a/libs/planner/tests/test_leader_election.py
+++ b/libs/planner/tests/test_leader_election.py
@@ -280,6 +280,109 @@
     run_virtual(run_scenario())
 
 
+class CountingStore(MemoryStore):
+    """A store that counts the calls of candidates.
+
+    :ivar calls: watches, reads and transactions, except those of the holder
+    """
+
+    def __init__(self, holder):
+        super().__init__()
+        self.calls = 0
+        self._holder = holder
+
+    async def watch(self, table, after, wait_s):
+        self.calls += 1
+        return await super().watch(table, after, wait_s)
+
+    async def commit(self, expected, writes, removals=(), **options):
+        leases = [decode_lease(each) for each in writes if each.key == LEASE_KEY]
+        self.calls += any(lease.holder != self._holder for lease in leases)
+        return await super().commit(expected, writes, removals, **options)
+
+
+async def start_many_candidates(store, count, wait_for_end):
+    """Start a holder that renews its lease and many candidates."""
+    first = await LeaderElection(store, "a/1", "ip:1").acquire()
+    _, writer = state_writer(store, first)
+    writing = asyncio.create_task(writer.run())
+    candidates = [
+        asyncio.create_task(
+            LeaderElection(store, f"c{number}/1", "ip:2", wait_for_end).acquire()
+        )
+        for number in range(count)
+    ]
+    await asyncio.sleep(2 * LEASE_EXPIRY_S)
+    return writing, candidates
+
+
+async def never(_address):
+    await asyncio.Event().wait()
+
+
+def test_waiting_candidates_do_not_call_the_store_for_every_renewal():
+    """Guards against idle hosts that cost the store several calls a second each."""
+
+    async def run_scenario():
+        store = CountingStore("a/1")
+        writing, candidates = await start_many_candidates(store, 20, never)
+        store.calls = 0
+        await asyncio.sleep(10.0)
+        assert store.calls / 20 / 10.0 < 1.3
+        for task in (writing, *candidates):
+            task.cancel()
+        await asyncio.gather(writing, *candidates, return_exceptions=True)
+
+    run_virtual(run_scenario())
+
+
+def test_a_silent_holder_of_many_candidates_is_replaced_within_two_seconds():
+    async def run_scenario():
+        store = CountingStore("a/1")
+        writing, candidates = await start_many_candidates(store, 20, never)
+        writing.cancel()
+        await asyncio.sleep(2.0)
+        assert store.lease().holder != "a/1"
+        for task in candidates:
+            task.cancel()
+        await asyncio.gather(writing, *candidates, return_exceptions=True)
+
+    run_virtual(run_scenario())
+
+
+def test_few_candidates_try_to_acquire_the_lease_of_a_killed_holder():
+    """Guards against a rush of transactions that delays the new planner's first ones:
+    all candidates notice the end of the process at the same moment.
+    """
+
+    async def run_scenario():
+        store, killed = CountingStore("a/1"), asyncio.Event()
+
+        async def ended(address):
+            await (killed if address == "ip:1" else asyncio.Event()).wait()
+
+        writing, candidates = await start_many_candidates(store, 60, ended)
+        writing.cancel()
+        revision, commits = store.revision, []
+        commit = store.commit
+
+        async def count(expected, writes, removals=(), **options):
+            commits.append(writes)
+            return await commit(expected, writes, removals, **options)
+
+        store.commit = count
+        killed.set()
+        await asyncio.sleep(0.4)
+        assert store.revision > revision
+        # The store in memory reports a change up to 0.05 s late, a third of the jitter.
+        assert len(commits) <= 60 / 2
+        for task in candidates:
+            task.cancel()
+        await asyncio.gather(writing, *candidates, return_exceptions=True)
+
+    run_virtual(run_scenario())
+
+
 def test_a_process_has_ended_when_its_port_refuses_not_when_a_connection_breaks():
     """Guards against a takeover from a writing planner after a connection reset."""
 
