Let only jobs that the former planner may have started wait after a takeover

An urgent job accepted at 17.6 s waited until 21.5 s for a worker that had gone, while batch work took the free accelerators; two more of them waited 6 and 8 s when the planner's data centre was cut off. Every job accepted before the acquisition counted as possibly started, although the former planner starts only jobs accepted before its last transaction.

Change: each transaction of a planner writes the lease row or a commit row, so the successor knows the revision of the last one. Later jobs are new to it. The lease row says whether its holder does so; after an earlier version everything is inherited. Inherited workers that do not answer the first call are looked up in the list of machines at once, if the list is certainly younger than they are.

Ruled out: the revision of the lease row alone, which is up to 0.4 s older than the last transaction, so jobs confirmed since then would be started twice.

Test: libs/planner/tests/test_takeover.py; the stateful machine of point 5 uses the limit, and detects one that is too low.

--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -22,6 +22,10 @@
 
 LEASE_TABLE = "planner"
 LEASE_KEY = "lease"
+# Row that each transaction of a planner writes unless it writes the lease row, so that
+# a successor knows the revision of the last one.
+COMMIT_TABLE = "commits"
+COMMIT_KEY = "last"
 RENEWAL_PERIOD_S = 0.4
 # Covers two renewal periods and one store call that takes its whole timeout.
 LEASE_EXPIRY_S = 1.7
@@ -47,12 +51,15 @@
     :ivar token: fencing token; 0 until the first renewal
     :ivar renewal: sequence number of the renewal
     :ivar address: ``ip:port`` on which the holder's process listens
+    :ivar marks_commits: the holder's transactions write the lease row or the commit
+        row; not so in earlier versions
     """
 
     holder: str
     token: int
     renewal: int
     address: str = ""
+    marks_commits: bool = False
 
 
 class LeaderLease(NamedTuple):
@@ -64,6 +71,8 @@
     :param renewed_at: monotonic time of the last observed change of the lease row
         by the previous holder
     :param address: ``ip:port`` on which the holder's process listens
+    :param replaced_revision: revision of the lease row that the acquisition replaced;
+        None if the previous holder's other transactions cannot be told from the rows
     """
 
     holder: str
@@ -71,6 +80,7 @@
     acquired_at: float
     renewed_at: float
     address: str = ""
+    replaced_revision: int | None = None
 
 
 class LeaderElection:
@@ -215,7 +225,7 @@
         self._probe, self._probed = None, ""
 
     async def _commit_acquisition(self, previous: LeaseRow) -> LeaderLease | None:
-        value = LeaseRow(self._holder, 0, 0, self._address)
+        value = LeaseRow(self._holder, 0, 0, self._address, marks_commits=True)
         present = self._row.revision if self._row else 0
         self._tried_at = clock.steady_s()
         try:
@@ -233,11 +243,18 @@
             former=previous.holder,
             former_silent_s=round(clock.steady_s() - self._changed_at, 3),
         )
-        return self._leader_lease(revision)
+        return self._leader_lease(revision, present if previous.marks_commits else None)
 
-    def _leader_lease(self, token: int) -> LeaderLease:
+    def _leader_lease(
+        self, token: int, replaced_revision: int | None = None
+    ) -> LeaderLease:
         return LeaderLease(
-            self._holder, token, self._tried_at, self._changed_at, self._address
+            self._holder,
+            token,
+            self._tried_at,
+            self._changed_at,
+            self._address,
+            replaced_revision,
         )
 
     def _observe_row(self, row: StoreRow | None) -> None:
--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -25,7 +25,11 @@
 
 from .errors import Deposed, Isolated, MachinesUnknown, WorkerFenced
 from .event_wait import wait_for_event
-from .leader_election import WORKER_LEASE_HORIZON_S, LeaderLease
+from .leader_election import (
+    RENEWAL_PERIOD_S,
+    WORKER_LEASE_HORIZON_S,
+    LeaderLease,
+)
 from .planner import Planner
 from .reports import (
     Advice,
@@ -35,11 +39,16 @@
     StartOutcome,
     WorkerEntry,
 )
-from .state_writer import StateWriter, read_progress, read_roster
+from .state_writer import (
+    StateWriter,
+    read_last_commit,
+    read_progress,
+    read_roster,
+)
 from .upkeep import UpkeepCalls, UpkeepController, Wave
 from .worker_calls import WorkerCalls
 from .worker_session import MIN_LEASE_S, WorkerSession
-from .workers import CLOCK_DRIFT, LEASE_SLACK_S
+from .workers import CLOCK_DRIFT, LEASE_SLACK_S, Worker
 
 # Longest time between two scheduling rounds; bounds the delay of time-driven orders.
 PLAN_PERIOD_S = 0.1
@@ -51,6 +60,7 @@
 # A worker that has not answered for this long is looked up in the list of machines,
 # with this period. The list itself may be one second old.
 MACHINE_CHECK_SILENCE_S = 1.8
+MACHINE_LIST_MAX_AGE_S = 1.0
 MACHINE_CHECK_PERIOD_S = 0.5
 MACHINE_CONFIRMATION_PAUSE_S = 0.1
 # Releasing the lease must leave most of the shutdown time to open requests.
@@ -132,6 +142,7 @@
             store, worker_table, self._load_workers, self._apply_worker_row
         )
         self._inherited: dict[str, JobProgress] = {}
+        self._inherited_workers: frozenset[str] = frozenset()
         self._sessions: dict[str, WorkerSession] = {}
         self._group: asyncio.TaskGroup | None = None
         self._connected_at = clock.steady_s() + ISOLATION_GRACE_S
@@ -154,9 +165,16 @@
 
     async def _load_inherited_state(self) -> None:
         """Load the state stored by earlier planners; retry until the store answers."""
+        last_commit: int | None = None
         while True:
             try:
-                for name in await read_roster(self._store):
+                if last_commit is None:
+                    last_commit = await read_last_commit(
+                        self._store, self._leader_lease
+                    )
+                    self.planner.limit_inheritance(last_commit)
+                self._inherited_workers = frozenset(await read_roster(self._store))
+                for name in self._inherited_workers:
                     self.planner.add_unregistered_worker(name, now=clock.steady_s())
                 # No other host writes progress while this one holds the lease.
                 self._inherited = await read_progress(self._store)
@@ -227,11 +245,29 @@
         return [
             name
             for name, worker in self.planner.workers.items()
-            if (worker.runs or not worker.synced)
-            and now - max(worker.answered_at, worker.discovered_at)
-            > MACHINE_CHECK_SILENCE_S
+            if self._missed_at_takeover(name, worker, now)
+            or (
+                (worker.runs or not worker.synced)
+                and now - max(worker.answered_at, worker.discovered_at)
+                > MACHINE_CHECK_SILENCE_S
+            )
         ]
 
+    def _missed_at_takeover(self, name: str, worker: Worker, now: float) -> bool:
+        """Return whether an inherited worker did not answer this planner's first call.
+
+        Inherited work waits for it. The previous planner knew it before its lease was
+        last renewed, so a later list of machines has it unless it has gone.
+        """
+        if worker.synced or name not in self._inherited_workers:
+            return False
+        list_covers_worker = (
+            now - self._leader_lease.renewed_at
+            > MACHINE_LIST_MAX_AGE_S + RENEWAL_PERIOD_S
+        )
+        session = self._sessions.get(name)
+        return list_covers_worker and (session is None or session.unreachable)
+
     def _adopt_configuration(self) -> None:
         configuration = self._configuration()
         if configuration is not None and configuration.version != self._version:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -53,8 +53,8 @@
 class Planner:
     """Scheduling state of one planner during one lease term.
 
-    :param inherited_revision: store revision; jobs accepted up to it may have been
-        started by an earlier planner
+    :param inherited_revision: store revision of the lease's acquisition; jobs accepted
+        up to it may have been started by an earlier planner
     :param inherited_until: monotonic time in seconds at which every worker lease
         granted by an earlier planner has expired
     :ivar stored_roster: workers in the stored roster. A later planner queries them
@@ -75,6 +75,7 @@
         self.cordoned: frozenset[str] = frozenset()
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
+        self._acquired_revision = inherited_revision
         self._confirmed_revision = inherited_revision
         self._newest_revision = 0
         self._queues: dict[str, Queue] = {}
@@ -116,6 +117,13 @@
         """
         self._confirmed_revision = max(self._confirmed_revision, revision)
 
+    def limit_inheritance(self, revision: int) -> None:
+        """Set the highest store revision at which an earlier planner held the lease.
+
+        Jobs accepted later have certainly not been started.
+        """
+        self._inherited_revision = min(self._inherited_revision, revision)
+
     @property
     def roster_outdated(self) -> bool:
         """Whether a worker is missing from the stored roster."""
@@ -149,7 +157,7 @@
             progress,
             revision=revision,
             inherited=revision <= self._inherited_revision,
-            arrived_at=now - age if revision <= self._inherited_revision else now,
+            arrived_at=now - age if revision <= self._acquired_revision else now,
         )
         job.queue = self._queues.get(request.queue.name, job.queue)
         self.jobs[request.job] = job
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -41,6 +41,8 @@
 from .event_wait import wait_for_event
 from .leader_election import (
     CALL_TIMEOUT_S,
+    COMMIT_KEY,
+    COMMIT_TABLE,
     LEASE_EXPIRY_S,
     LEASE_KEY,
     LEASE_TABLE,
@@ -66,6 +68,7 @@
 MAX_REMOVED_PER_COMMIT = 20
 ROSTER_TABLE = "roster"
 ROSTER_KEY = "workers"
+COMMIT_MARK = RowWrite(COMMIT_TABLE, COMMIT_KEY, b"1")
 
 
 async def read_roster(store: Store) -> tuple[str, ...]:
@@ -93,6 +96,19 @@
     return found
 
 
+async def read_last_commit(store: Store, lease: LeaderLease) -> int:
+    """Return the highest revision at which an earlier planner held the lease.
+
+    It started no job that was accepted later. To be called before this planner makes
+    any transaction that does not renew the lease.
+    """
+    if lease.replaced_revision is None:
+        return lease.token
+    snapshot = await store.read(COMMIT_TABLE, timeout_s=CALL_TIMEOUT_S)
+    revisions = [row.revision for row in snapshot.rows]
+    return min(max(lease.replaced_revision, *revisions, 0), lease.token)
+
+
 class StateWriter:
     """Writes the planner's state during one lease term.
 
@@ -273,8 +289,7 @@
         pending_rows, self._pending_rows = self._pending_rows, {}
         writes = self._progress_writes(names) + list(pending_rows.values())
         renew = holder is not None or self._outcome_unknown or self._renewal_due(now)
-        if renew:
-            writes.append(self._lease_write(holder))
+        writes.append(self._lease_write(holder) if renew else COMMIT_MARK)
         summary = self._summary_write(now)
         roster = frozenset(self._planner.workers)
         writes += summary + self._roster_write(roster)
@@ -349,6 +364,7 @@
             self._leader_lease.token,
             self._renewal,
             self._leader_lease.address,
+            marks_commits=True,
         )
         return RowWrite(LEASE_TABLE, LEASE_KEY, encode_lease(lease))
 
--- a/libs/planner/tests/test_leader_election.py
+++ b/libs/planner/tests/test_leader_election.py
@@ -3,8 +3,7 @@
 import asyncio
 
 import pytest
-from bilberryhitch_jobs import JobProgress, JobRequest, JobState, Queue, RowSnapshot
-from bilberryhitch_jobs.errors import CommitConflict, StoreUnknown
+from bilberryhitch_jobs import JobProgress, JobRequest, JobState, Queue
 from bilberryhitch_jobs.rows import StoreRow
 from bilberryhitch_model import clock
 from bilberryhitch_planner import Deposed, LeaderElection, Planner
@@ -21,6 +20,7 @@
     StateWriter,
 )
 from bilberryhitch_testing import run_virtual
+from bilberryhitch_testing.memory_store import MemoryStore
 
 
 @pytest.fixture(autouse=True)
@@ -29,48 +29,6 @@
     monkeypatch.setattr(clock, "steady_s", lambda: asyncio.get_running_loop().time())
 
 
-class MemoryStore:
-    """A store with conditional transactions whose replies may be lost."""
-
-    def __init__(self):
-        self.rows = {}
-        self.revision = 0
-        self.lose_replies = 0
-
-    async def read(self, table, first="", last="", *, partition="", timeout_s):
-        rows = tuple(row for key, row in sorted(self.rows.items()) if key[0] == table)
-        return RowSnapshot(rows, self.revision)
-
-    async def watch(self, table, after, wait_s):
-        waited = 0.0
-        while True:
-            rows = [row for row in self.rows.values() if row.table == table]
-            changed = tuple(row for row in rows if row.revision > after)
-            if changed or waited >= wait_s:
-                return RowSnapshot(changed, self.revision)
-            await asyncio.sleep(0.05)
-            waited += 0.05
-
-    async def commit(self, expected, writes, removals=(), *, partition="", timeout_s):
-        for each in expected:
-            row = self.rows.get((each.table, each.key))
-            if (row.revision if row else 0) != each.revision:
-                raise CommitConflict((row,) if row else ())
-        self.revision += 1
-        for each in writes:
-            key = (each.table, each.key)
-            self.rows[key] = StoreRow(each.table, each.key, each.value, self.revision)
-        for each in removals:
-            self.rows.pop((each.table, each.key), None)
-        if self.lose_replies:
-            self.lose_replies -= 1
-            raise StoreUnknown("commit", "lost")
-        return self.revision
-
-    def lease(self):
-        return decode_lease(self.rows.get((LEASE_TABLE, LEASE_KEY)))
-
-
 def state_writer(store, lease):
     planner = Planner(inherited_revision=lease.token, inherited_until=0.0)
     return planner, StateWriter(store, lease, planner, retention_s=60.0)
--- /dev/null
+++ b/libs/planner/tests/test_takeover.py
@@ -0,0 +1,185 @@
+"""Urgent jobs that arrive around a takeover while some workers cannot be reached.
+
+Pattern: the planner is cut off together with a data centre. Jobs go on arriving for the
+two seconds that its lease takes to expire, and a third of the workers is unreachable
+for several seconds more.
+"""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from bilberryhitch_jobs.rows import ExpectedRevision, RowWrite
+from bilberryhitch_model import clock
+from bilberryhitch_planner import (
+    LeaderElection,
+    LeaderLease,
+    LeadingPlanner,
+    Machine,
+    Planner,
+)
+from bilberryhitch_planner.leader_election import LEASE_EXPIRY_S, RENEWAL_PERIOD_S
+from bilberryhitch_planner.leading_planner import MACHINE_LIST_MAX_AGE_S
+from bilberryhitch_planner.state_writer import StateWriter, read_last_commit
+from bilberryhitch_testing import run_virtual
+from bilberryhitch_testing.memory_store import MemoryStore
+from bilberryhitch_testing.planner_harness import PlannerHarness, entry, request, step
+
+
+@pytest.fixture(autouse=True)
+def loop_clock(monkeypatch):
+    """Replace the clock of the tested modules by that of the event loop."""
+    monkeypatch.setattr(clock, "steady_s", lambda: asyncio.get_running_loop().time())
+
+
+def test_only_jobs_known_to_the_former_planner_wait_for_unreachable_workers():
+    """Guards against urgent jobs that wait for seconds for workers on which they cannot
+    have been started: the former planner had lost the store before they were accepted.
+    """
+    harness = PlannerHarness(
+        entry("w1"), entry("w2"), inherited_revision=200, inherited_until=12.0
+    )
+    harness.planner.limit_inheritance(150)
+    harness.send_heartbeat("w1")
+    harness.add(request("known", step()), revision=150)
+    harness.add(request("new", step()), revision=151)
+    assert [order.task.job for order in harness.plan_starts()] == ["new"]
+
+
+def test_the_age_of_a_job_counts_from_its_acceptance_before_the_takeover():
+    """Guards against jobs accepted during a takeover whose slack looks longer than it
+    is, so that they are placed too late.
+    """
+    harness = PlannerHarness(entry("w1"), inherited_revision=200)
+    harness.planner.limit_inheritance(150)
+    harness.now = 2.0
+    harness.add(request("j", step()), revision=180)
+    assert harness.planner.jobs["j"].arrived_at == pytest.approx(0.0)
+
+
+def state_writer(store, lease):
+    planner = Planner(inherited_revision=lease.token, inherited_until=0.0)
+    return StateWriter(store, lease, planner, retention_s=60.0)
+
+
+async def accept_job(store, name):
+    return await store.commit(
+        (ExpectedRevision("jobs", name, 0),),
+        (RowWrite("jobs", name, b"{}"),),
+        timeout_s=1.0,
+    )
+
+
+@pytest.mark.parametrize("renewals", [0, 1, 3])
+def test_the_last_commit_of_the_former_planner_is_known(renewals):
+    """Guards against a second run of a task: a job that the former planner confirmed,
+    and so may have started, must count as inherited.
+    """
+
+    async def run_scenario():
+        store = MemoryStore()
+        first = await LeaderElection(store, "a/1").acquire()
+        former = state_writer(store, first)
+        for _ in range(renewals):
+            await former.write()
+            await asyncio.sleep(RENEWAL_PERIOD_S)
+        confirmed = await accept_job(store, "confirmed")
+        await former.write()
+        unconfirmed = await accept_job(store, "unconfirmed")
+        second = await LeaderElection(store, "b/1").acquire()
+        last = await read_last_commit(store, second)
+        assert confirmed < last < unconfirmed < second.token
+
+    run_virtual(run_scenario())
+
+
+def test_each_commit_leaves_its_revision():
+    """Guards against a commit that confirms jobs without a trace for a successor."""
+
+    async def run_scenario():
+        store = MemoryStore()
+        writer = state_writer(store, await LeaderElection(store, "a/1").acquire())
+        for _ in range(7):
+            await writer.write()
+            await asyncio.sleep(RENEWAL_PERIOD_S / 3)
+            second = LeaderLease("b/1", store.revision + 1, 0.0, 0.0, "", 0)
+            revisions = (store.lease_revision(), await read_last_commit(store, second))
+            assert max(revisions) == store.revision
+
+    run_virtual(run_scenario())
+
+
+@pytest.mark.parametrize("row", [b"", b'{"holder":"a/1","token":1,"renewal":1}'])
+def test_everything_is_inherited_from_a_planner_that_does_not_mark_its_commits(row):
+    """Guards against a second run of a task while hosts run different versions."""
+
+    async def run_scenario():
+        store = MemoryStore()
+        await store.commit((), (RowWrite("planner", "lease", row),), timeout_s=1.0)
+        await accept_job(store, "j")
+        lease = await LeaderElection(store, "b/1").acquire()
+        assert await read_last_commit(store, lease) == lease.token
+
+    run_virtual(run_scenario())
+
+
+def test_everything_is_inherited_if_the_acquisition_was_not_answered():
+    async def run_scenario():
+        store = MemoryStore()
+        former = state_writer(store, await LeaderElection(store, "a/1").acquire())
+        await former.release()
+        store.lose_replies = 1
+        lease = await LeaderElection(store, "b/1").acquire()
+        assert await read_last_commit(store, lease) == lease.token
+
+    run_virtual(run_scenario())
+
+
+def leading_planner(lease, machines):
+    async def list_machines():
+        return machines
+
+    return LeadingPlanner(
+        SimpleNamespace(),
+        lease,
+        SimpleNamespace(),
+        worker_table="servers",
+        decode_worker=lambda row: None,
+        configuration=lambda: None,
+        advise=lambda request: None,
+        machines=SimpleNamespace(list_machines=list_machines),
+        waves=lambda: (),
+        encode_wave=lambda number, done: None,
+        retention_s=60.0,
+    )
+
+
+LIST_COVERS_S = MACHINE_LIST_MAX_AGE_S + RENEWAL_PERIOD_S
+
+
+@pytest.mark.parametrize(
+    ("renewed_ago_s", "listed", "kept"),
+    [
+        (LEASE_EXPIRY_S, False, False),
+        (LEASE_EXPIRY_S, True, True),
+        # The list may be older than the worker.
+        (LIST_COVERS_S - 1.0, False, True),
+    ],
+)
+def test_a_worker_that_went_before_the_takeover_is_not_waited_for(
+    renewed_ago_s, listed, kept
+):
+    """Guards against urgent inherited work that waits for a worker that has gone."""
+
+    async def run_scenario():
+        lease = LeaderLease("a/1", 9, 0.0, clock.steady_s() - renewed_ago_s)
+        machines = (Machine("m-1", "w1", True),) if listed else ()
+        planner = leading_planner(lease, machines)
+        planner._inherited_workers = frozenset({"w1"})
+        planner.planner.add_unregistered_worker("w1", now=clock.steady_s())
+        checks = asyncio.create_task(planner._check_silent_workers())
+        await asyncio.sleep(0.9)
+        checks.cancel()
+        assert ("w1" in planner.planner.workers) is kept
+
+    run_virtual(run_scenario())
--- a/tests/machines/test_point5_planner.py
+++ b/tests/machines/test_point5_planner.py
@@ -138,3 +138,14 @@
     monkeypatch.setattr(Planner, "has_unsynced_workers", property(lambda _: False))
     with pytest.raises(AssertionError):
         run_point(POINT, seed_number=1, histories=60)
+
+
+def test_a_planner_that_inherits_too_little_is_detected(monkeypatch):
+    """Guards against a machine that can't detect jobs wrongly taken for new ones."""
+    monkeypatch.setattr(
+        Planner,
+        "limit_inheritance",
+        lambda self, revision: setattr(self, "_inherited_revision", revision - 20),
+    )
+    with pytest.raises(AssertionError):
+        run_point(POINT, seed_number=1, histories=60)
--- a/tests/machines/world_point5_planner.py
+++ b/tests/machines/world_point5_planner.py
@@ -39,6 +39,7 @@
     def __init__(self, workers=4):
         self.now = 0.0
         self.revision = 0
+        self.last_commit = 0
         self.store_up = True
         self.requests = {}
         self.progress = {}
@@ -71,12 +72,14 @@
         """Elect another planner; the former leader continues until it is fenced."""
         self.former_leader = self.leader
         self.revision += 1
+        former_commit, self.last_commit = self.last_commit, self.revision
         until = (
             self.former_leader.confirmed_at + MAX_WORKER_LEASE_S
             if self.former_leader
             else 0.0
         )
         planner = Planner(inherited_revision=self.revision, inherited_until=until)
+        planner.limit_inheritance(former_commit)
         planner.configure(configuration())
         self.leader = LeaseHolder(self.revision, planner, self.now)
         for name in self.roster:
@@ -193,6 +196,7 @@
             self.progress[name] = holder.planner.jobs[name].progress()
         holder.planner.dirty = set()
         self.revision += 1
+        self.last_commit = self.revision
         holder.planner.confirm_lease(self.revision)
         self.roster = holder.planner.stored_roster = frozenset(holder.planner.workers)
         holder.confirmed_at = self.now
