Judge a run as stalled by the time that it needs for a percent

Cause, read in the code: progress is reported in whole percent, and a run without progress for 3.5 s was stopped. A run of 100 s on a worker that is eight times as slow needs 8 s for each percent, so it was stopped and started again for ever. Change: the limit is at least three times what the run needed for each percent so far, or what it needs by its estimate on such a worker. Test: test_a_long_run_on_a_slow_worker_is_not_taken_for_stalled fails before with 8 s a percent; a run that stands still is still stopped.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -24,6 +24,10 @@
 # time, and a run that works shows progress within it.
 MIN_STALL_TIMEOUT_S = 1.2
 MAX_STALL_TIMEOUT_S = 3.5
+# Progress is reported in whole percent. A long run on a slow worker needs more than the
+# times above for one of them.
+STALL_PERCENT = 3.0
+SLOWEST_SPEED = 1 / 8
 
 
 class ClusterState:
@@ -298,10 +302,17 @@
     A gang starts to work once its last member has started, so a gang without any
     progress gets the longest time.
     """
-    if not any(other.percent for other in unit.runs.values()):
-        return MAX_STALL_TIMEOUT_S
-    share_s = unit.step.step.estimate_s * STALL_SHARE
-    return min(max(share_s, MIN_STALL_TIMEOUT_S), MAX_STALL_TIMEOUT_S)
+    estimate_s = unit.step.step.estimate_s
+    if run.percent and not run.checkpoint:
+        percent_s = (run.advanced_at - run.ordered_at) / run.percent
+    else:
+        percent_s = estimate_s / SLOWEST_SPEED / 100
+    if any(other.percent for other in unit.runs.values()):
+        share_s = max(estimate_s * STALL_SHARE, MIN_STALL_TIMEOUT_S)
+        timeout_s = min(share_s, MAX_STALL_TIMEOUT_S)
+    else:
+        timeout_s = MAX_STALL_TIMEOUT_S
+    return max(timeout_s, percent_s * STALL_PERCENT)
 
 
 def format_task(task: TaskName) -> str:
--- a/libs/planner/tests/test_containment.py
+++ b/libs/planner/tests/test_containment.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
-from bilberryhitch_jobs import TableWatcher
+from bilberryhitch_jobs import Resources, Step, TableWatcher
 from bilberryhitch_jobs.rows import RowSnapshot, StoreRow
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
@@ -278,3 +278,37 @@
     harness.send_heartbeat(order.worker, [running(order, 90.0)])
     assert harness.plan() == []
     assert harness.planner.workers[order.worker].runs
+
+
+@pytest.mark.parametrize("percent_s", [1.0, 8.0])
+def test_a_long_run_on_a_slow_worker_is_not_taken_for_stalled(percent_s):
+    """Guards against work that is given up although it advances: a run of minutes needs
+    seconds for each percent, which is all that a worker reports.
+    """
+    harness = PlannerHarness(entry("w1"), entry("w2"))
+    harness.send_heartbeat("w1")
+    harness.send_heartbeat("w2")
+    harness.add(request("j", Step(1, Resources(1_000, 1_000, 1), 100.0)))
+    (order,) = harness.start_all()
+    for tick in range(1, 100):
+        harness.now = tick * 0.6
+        done = running(order, float(harness.now // percent_s))
+        for name in ("w1", "w2"):
+            harness.send_heartbeat(name, [done] if name == order.worker else [])
+        assert harness.plan() == []
+
+
+def test_a_long_run_that_stands_still_is_stopped():
+    """Guards against a limit that finds no stalled run any more."""
+    harness = PlannerHarness(entry("w1"))
+    harness.send_heartbeat("w1")
+    harness.add(request("j", Step(1, Resources(1_000, 1_000, 1), 100.0)))
+    (order,) = harness.start_all()
+    for tick in range(1, 40):
+        harness.now = tick * 0.6
+        done = running(order, min(5.0, harness.now // 1.0))
+        harness.send_heartbeat(order.worker, [done])
+        if stops := harness.plan():
+            break
+    assert [stop.task for stop in stops] == [order.task]
+    assert 5.0 < harness.now < 12.0
