Let urgent work beyond its guarantee stop work that has hardly begun

Change: an urgent gang that would still be in time after the stop may stop other work, if what is lost is less than half of its own work. A unit that was stopped for urgent work is not stopped like that again, so a flood of urgent work does not starve the rest.

--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -6,7 +6,9 @@
 from bilberryhitch_telemetry import events, log
 
 from .cluster_state import ClusterState, format_task
+from .forecast import STOP_DURATION_S
 from .guarantees import Guarantees
+from .ordering import slack_s
 from .placement import (
     TaskPlacement,
     headroom,
@@ -14,7 +16,13 @@
     place_task,
     workers_with_room,
 )
-from .preemption import plan_preemption
+from .preemption import (
+    MAX_LOSS_SHARE,
+    PreemptionPlan,
+    estimated_core_seconds,
+    gives_way,
+    plan_preemption,
+)
 from .reports import AdviceRequest, StartOrder
 from .reservations import Reservations
 from .runs import Run
@@ -261,7 +269,7 @@
         )
 
     def _preempt(self, unit: Unit, workers: Sequence[Worker]) -> bool:
-        """Preempt other work if the unit is within its account's guarantee.
+        """Preempt other work for an urgent unit, if that is allowed.
 
         :returns: whether capacity is being freed for the unit
         """
@@ -270,24 +278,17 @@
             return True
         self._state.preemptions.release(unit)
         waited_s = now - unit.waiting_since
-        if (
-            unit.step.job.queue.priority != 0
-            or waited_s < PREEMPT_AFTER_S
-            or not self._guarantees.covers(unit)
-        ):
+        if unit.step.job.queue.priority != 0 or waited_s < PREEMPT_AFTER_S:
             return False
-        candidates = [
-            each for each in workers if self._state.preemptions.allows(each, unit)
-        ]
-        preemption = plan_preemption(
-            unit, candidates, self._guarantees.allows_preemption, now
-        )
+        guaranteed = self._guarantees.covers(unit)
+        preemption = self._plan_preemption(unit, workers, guaranteed=guaranteed)
         if preemption is None:
             return False
         self._state.preemptions.hold_workers(preemption.workers, unit, now)
         unit.across_racks = preemption.across_racks
         self._guarantees.claim(unit)
         for victim in preemption.units:
+            victim.gave_way = True
             for run in victim.runs.values():
                 self._state.order_stop(run)
         log(
@@ -300,5 +301,26 @@
             ],
             lost_core_s=round(preemption.cost, 1),
             waited_s=round(waited_s, 3),
+            guaranteed=guaranteed,
         )
         return True
+
+    def _plan_preemption(
+        self, unit: Unit, workers: Sequence[Worker], *, guaranteed: bool
+    ) -> PreemptionPlan | None:
+        """Return the cheapest preemption for an urgent unit, or None if there is none.
+
+        Beyond its account's guarantee it must still be in time after the stop, and may
+        cost other work only a part of its own.
+        """
+        candidates = [
+            each for each in workers if self._state.preemptions.allows(each, unit)
+        ]
+        if guaranteed:
+            preemptible = self._guarantees.allows_preemption
+            return plan_preemption(unit, candidates, preemptible, self._now)
+        if slack_s(unit.step, self._now) < STOP_DURATION_S:
+            return None
+        plan = plan_preemption(unit, candidates, gives_way, self._now)
+        most_lost = MAX_LOSS_SHARE * estimated_core_seconds(unit)
+        return plan if plan is not None and plan.cost <= most_lost else None
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -34,6 +34,7 @@
         can be cleared for it
     :ivar adopted: all tasks of its latest run are known, although an earlier planner
         started it
+    :ivar gave_way: it has been stopped for urgent work
     :ivar retry_at: monotonic time before which it is not started again
     :ivar waiting_since: monotonic time since which it has been ready to run
     """
@@ -43,6 +44,7 @@
         "adopted",
         "done",
         "failed_runs",
+        "gave_way",
         "index",
         "last_run",
         "runs",
@@ -64,6 +66,7 @@
         self.runs: dict[int, Run] = {}
         self.across_racks = False
         self.adopted = False
+        self.gave_way = False
         self.retry_at = 0.0
         self.waiting_since = step.job.arrived_at
 
