Let emulated gangs end with their slowest member; emulate slow workers

Cause: the simulated fleet ended a gang as done when its first member had done its work, while on the platform all members end together once all are done. So the emulator showed too much worth and no cost of slow workers.

Change: a gang ends when the work of all members is done; the emulator can slow a share of the workers down for a while.

--- a/libs/standins/src/bilberryhitch_standins/simulated_fleet.py
+++ b/libs/standins/src/bilberryhitch_standins/simulated_fleet.py
@@ -78,9 +78,14 @@
         self.task: TaskName
 
     def percent(self) -> float:
-        return (
-            100.0 * self.done_s / self.profile.work_s if self.profile.work_s else 100.0
-        )
+        if not self.profile.work_s:
+            return 100.0
+        return min(100.0, 100.0 * self.done_s / self.profile.work_s)
+
+    @property
+    def complete(self) -> bool:
+        """Whether its work is done; a gang ends when that of all members is."""
+        return self.done_s >= self.profile.work_s
 
 
 class SimulatedFleet:
@@ -145,6 +150,10 @@
             return True
         return len(self._get_members(run)) == run.profile.gang_size
 
+    def is_complete(self, run: _Run) -> bool:
+        """Return whether the work of all tasks of the run's gang is done."""
+        return all(member.complete for member in self._get_members(run).values())
+
     def get_slowdown(self, run: _Run) -> float:
         """Return the factor by which the racks of a run and its gang slow it down."""
         profile = run.profile
@@ -348,7 +357,7 @@
             run.saved_s = run.done_s - run.done_s % run.profile.checkpoint_period_s
         if self.fails_all and run.done_s > 0.1 * run.profile.work_s:
             self._fleet.end_run(run, EndKind.FAILED, now)
-        elif run.done_s >= run.profile.work_s:
+        elif self._fleet.is_complete(run):
             how = EndKind.FAILED if run.profile.fails else EndKind.DONE
             self._fleet.end_run(run, how, now)
 
--- a/measure/job_emulator.py
+++ b/measure/job_emulator.py
@@ -100,6 +100,19 @@
     worth: float
 
 
+class SlowSpell(NamedTuple):
+    """A time in which some of the workers are slow.
+
+    :param share: share of the workers
+    :param factor: how many times as long their tasks take
+    """
+
+    share: float
+    factor: float
+    start_s: float = 7.5
+    length_s: float = 7.0
+
+
 class Result(NamedTuple):
     """Worth earned, resources wasted and errors in an emulated day.
 
@@ -309,9 +322,18 @@
 
 
 class Day:
-    """An emulated day."""
+    """An emulated day.
+
+    :param slow: a time in which some of the workers are slow
+    """
 
-    def __init__(self, deployment: Deployment, seconds: float, seed: int) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seconds: float,
+        seed: int,
+        slow: SlowSpell | None = None,
+    ) -> None:
         rng = random.Random(seed)
         self.jobs = {
             job.request.job: job for job in generate_arrivals(deployment, seconds, rng)
@@ -345,6 +367,13 @@
             self.fleet.add_worker(entry, rng.choice((0.8, 1.0, 1.25)))
             self.planner.add_worker(entry, now=0.0)
         self.planner.stored_roster = frozenset(self.planner.workers)
+        self._slow = slow
+        names = sorted(self.fleet.workers)
+        self._slow_workers = (
+            random.Random(seed).sample(names, round(slow.share * len(names)))
+            if slow
+            else []
+        )
 
     def run(self) -> Result:
         """Emulate the day and return its result."""
@@ -352,6 +381,7 @@
         now, position = 0.0, 0
         while now < self._seconds + POST_ARRIVAL_S:
             self.fleet.advance(now)
+            self._change_speeds(now)
             while position < len(pending) and pending[position].at <= now:
                 self._submit(pending[position], now)
                 position += 1
@@ -363,6 +393,16 @@
     def _profile(self, task: TaskName) -> TaskProfile:
         return self.jobs[task.job].profiles[task.step][task.ordinal]
 
+    def _change_speeds(self, now: float) -> None:
+        """Slow workers down at the start of the slow time; speed them up at its end."""
+        if self._slow is None:
+            return
+        start, end = self._slow.start_s, self._slow.start_s + self._slow.length_s
+        for at, factor in ((start, 1 / self._slow.factor), (end, self._slow.factor)):
+            if now - TICK_S < at <= now:
+                for name in self._slow_workers:
+                    self.fleet.workers[name].speed *= factor
+
     def _submit(self, job: Job, now: float) -> None:
         self.planner.confirm_lease(1)
         progress = JobProgress(JobState.PENDING, job.request.account, {})
@@ -475,13 +515,23 @@
     parser.add_argument("--seconds", type=float, default=34.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--days", type=int, default=3)
+    parser.add_argument(
+        "--slow-share",
+        type=float,
+        default=0.0,
+        help="share of the workers that are slow for a while",
+    )
+    parser.add_argument("--slow-factor", type=float, default=6.0)
     arguments = parser.parse_args()
     logger.remove()
     worths = []
     for seed in range(arguments.seed, arguments.seed + arguments.days):
         started_s = time.process_time()
         day = Day(
-            make_deployment(arguments.site, arguments.load), arguments.seconds, seed
+            make_deployment(arguments.site, arguments.load),
+            arguments.seconds,
+            seed,
+            SlowSpell(arguments.slow_share, arguments.slow_factor),
         )
         result = day.run()
         worths.append(result.worth)
