Reclaim a guarantee from patient work before urgent work

Change: a preemption of patient work alone is preferred, unless it would spread the gang over racks.

Test: test_a_guarantee_is_reclaimed_from_patient_work_before_urgent_work fails before.

--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -317,10 +317,28 @@
             each for each in workers if self._state.preemptions.allows(each, unit)
         ]
         if guaranteed:
-            preemptible = self._guarantees.allows_preemption
-            return plan_preemption(unit, candidates, preemptible, self._now)
+            return self._plan_reclaim(unit, candidates)
         if slack_s(unit.step, self._now) < STOP_DURATION_S:
             return None
         plan = plan_preemption(unit, candidates, gives_way, self._now)
         most_lost = MAX_LOSS_SHARE * estimated_core_seconds(unit)
         return plan if plan is not None and plan.cost <= most_lost else None
+
+    def _plan_reclaim(
+        self, unit: Unit, candidates: Sequence[Worker]
+    ) -> PreemptionPlan | None:
+        """Return the preemption for a unit within its account's guarantee.
+
+        Other accounts' urgent work, which would miss its objective, is stopped only if
+        stopping patient work does not do.
+        """
+        allows = self._guarantees.allows_preemption
+        plan = plan_preemption(
+            unit,
+            candidates,
+            lambda each: each.step.job.queue.priority > 0 and allows(each),
+            self._now,
+        )
+        if plan is not None and not plan.across_racks:
+            return plan
+        return plan_preemption(unit, candidates, allows, self._now)
--- a/libs/planner/tests/test_urgent_burst.py
+++ b/libs/planner/tests/test_urgent_burst.py
@@ -137,3 +137,22 @@
     harness.add(request("urgent", step(gpu=8, gang=True)))
     advance(harness, 4.0)
     assert len(stopped_tasks(harness.plan())) == 1
+
+
+def test_a_guarantee_is_reclaimed_from_patient_work_before_urgent_work():
+    """Load: a burst of urgent gangs, of which some exceed their account's guarantee.
+
+    Guards against urgent gangs that stop each other, so that more of them are late.
+    """
+    harness = PlannerHarness(entry("w0"), entry("w1"), guaranteed=8)
+    for name in harness.planner.workers:
+        harness.send_heartbeat(name)
+    harness.add(request("batch", step(gpu=8), route=BATCH, account="b"))
+    harness.start_all()
+    advance(harness, 5.0)
+    harness.add(request("borrower", step(gpu=8, gang=True), account="b"))
+    harness.start_all()
+    harness.add(request("urgent", step(gpu=8, gang=True)))
+    advance(harness, 5.1)
+    (stopped,) = stopped_tasks(harness.plan())
+    assert stopped.job == "batch"
