Take Unix time from a clock that jumps do not change and on which hosts agree

Cause, read in the code: due times, the removal of finished jobs and the ages of jobs were taken from the host's time of day, which may jump by seconds, and a takeover brought another host's clock.

Change: a process takes the time of day once, when it starts, and goes on with a clock that counts steadily. Each host stores once how far that is ahead of the store's steady clock; a planner adopts the median, which a minority of wrong clocks does not change.

Weighed: the lease row as carrier of the former planner's time, which keeps a wrong first clock for ever.

--- a/libs/jobs/src/bilberryhitch_jobs/job_api.py
+++ b/libs/jobs/src/bilberryhitch_jobs/job_api.py
@@ -5,6 +5,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .configuration import Configuration, Queue
@@ -144,7 +145,7 @@
             call.account,
             content.spec,
             content.steps,
-            time.time(),
+            clock.unix.now_s(),
             content.schedule,
         )
         result = await self._operations.accept(request, deadline)
--- a/libs/planner/src/bilberryhitch_planner/__init__.py
+++ b/libs/planner/src/bilberryhitch_planner/__init__.py
@@ -1,5 +1,6 @@
 """Planner for jobs: placement, leases, preemption, failover and stored state."""
 
+from .agreed_time import publish_time
 from .errors import (
     Deposed,
     MachinesUnknown,
@@ -55,4 +56,5 @@
     "WorkerFenced",
     "WorkerGone",
     "WorkerUnreachable",
+    "publish_time",
 ]
--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
@@ -23,6 +22,7 @@
 from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
+from .agreed_time import StoreTime, adopt_agreed_time
 from .errors import Deposed, Isolated, MachinesUnknown, WorkerFenced
 from .event_wait import wait_for_event
 from .leader_election import (
@@ -83,6 +83,7 @@
     :param waves: returns the maintenance waves that the operator has requested
     :param encode_wave: returns the row that reports a wave's state to the operator
     :param retention_s: retention period of finished jobs, in seconds
+    :param store_time_s: returns the time of the store's clock, None before it is known
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         waves: Callable[[], Iterable[Wave]],
         encode_wave: Callable[[int, bool], RowWrite],
         retention_s: float,
+        store_time_s: StoreTime,
     ) -> None:
         horizon = WORKER_LEASE_HORIZON_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
         self.planner = Planner(
@@ -116,6 +118,7 @@
         self._store = store
         self._leader_lease = leader_lease
         self._calls = calls
+        self._store_time_s = store_time_s
         self._decode_worker = decode_worker
         self._configuration = configuration
         self._machines = machines
@@ -168,6 +171,7 @@
         last_commit: int | None = None
         while True:
             try:
+                await adopt_agreed_time(self._store, self._store_time_s)
                 if last_commit is None:
                     last_commit = await read_last_commit(
                         self._store, self._leader_lease
@@ -191,7 +195,7 @@
             if await wait_for_event(self._wake, PLAN_PERIOD_S):
                 await asyncio.sleep(BATCH_DELAY_S)
             self._wake.clear()
-            now, unix_s = clock.steady_s(), time.time()
+            now, unix_s = clock.steady_s(), clock.unix.now_s()
             self._adopt_configuration()
             self.planner.tick(now=now, unix_s=unix_s)
             may_start = self.state_writer.worker_lease_limit - now > MIN_LEASE_S
@@ -226,7 +230,9 @@
                 absent &= await self._absent(self._silent_workers(clock.steady_s()))
             for name in sorted(absent):
                 now = clock.steady_s()
-                self.planner.remove_ended_worker(name, now=now, unix_s=time.time())
+                self.planner.remove_ended_worker(
+                    name, now=now, unix_s=clock.unix.now_s()
+                )
                 self._changed()
 
     async def _absent(self, silent: list[str]) -> set[str]:
@@ -309,7 +315,7 @@
             return
         name, _, suffix = row.key.partition(".")
         if suffix == CANCEL_SUFFIX[1:]:
-            self.planner.cancel_job(name, unix_s=time.time())
+            self.planner.cancel_job(name, unix_s=clock.unix.now_s())
         elif name not in self.planner.jobs:
             self._add_job(name, row)
         self._changed()
@@ -325,7 +331,11 @@
             progress = JobProgress(JobState.PENDING, request.account, {})
         self._adopt_configuration()
         self.planner.add_job(
-            request, progress, row.revision, now=clock.steady_s(), unix_s=time.time()
+            request,
+            progress,
+            row.revision,
+            now=clock.steady_s(),
+            unix_s=clock.unix.now_s(),
         )
 
     # Worker rows.
@@ -399,7 +409,7 @@
                     StartOutcome.UNKNOWN,
                     certain=False,
                     now=clock.steady_s(),
-                    unix_s=time.time(),
+                    unix_s=clock.unix.now_s(),
                 )
                 self._changed()
 
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -125,7 +124,7 @@
         *,
         retention_s: float,
         on_stored: Callable[[], None] = lambda: None,
-        unix: Callable[[], float] = time.time,
+        unix: Callable[[], float] = clock.unix.now_s,
     ) -> None:
         self._store = store
         self._leader_lease = leader_lease
--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -1,7 +1,6 @@
 """Takes machines down for maintenance (upkeep) in waves requested by the operator."""
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 from typing import NamedTuple, Protocol
@@ -304,7 +303,7 @@
         if outcome is UpkeepOutcome.BUSY:
             self._state_writer.put(wave_state.record_write)
         if outcome is UpkeepOutcome.BEGUN and ended:
-            self._planner.remove_ended_worker(ended, now=now, unix_s=time.time())
+            self._planner.remove_ended_worker(ended, now=now, unix_s=clock.unix.now_s())
             self._on_change()
 
     async def _read_records(self) -> dict[int, list[str]]:
--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -1,7 +1,6 @@
 """The planner's session with one worker: heartbeats and orders."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from bilberryhitch_model import clock
@@ -92,7 +91,7 @@
                 reply = await self._send_heartbeat(sent_at, wait_s)
             except WorkerGone:
                 self._planner.remove_ended_worker(
-                    self._name, now=clock.steady_s(), unix_s=time.time()
+                    self._name, now=clock.steady_s(), unix_s=clock.unix.now_s()
                 )
                 self._on_change()
                 return
@@ -109,7 +108,7 @@
                 reply,
                 sent_at=sent_at,
                 now=clock.steady_s(),
-                unix_s=time.time(),
+                unix_s=clock.unix.now_s(),
             )
             self._on_change()
             worker = self._planner.workers.get(self._name)
@@ -189,10 +188,12 @@
                 break
         now = clock.steady_s()
         if outcome is StartOutcome.GONE:
-            self._planner.remove_ended_worker(self._name, now=now, unix_s=time.time())
+            self._planner.remove_ended_worker(
+                self._name, now=now, unix_s=clock.unix.now_s()
+            )
             return
         self._planner.apply_start_outcome(
-            order, outcome, certain=certain, now=now, unix_s=time.time()
+            order, outcome, certain=certain, now=now, unix_s=clock.unix.now_s()
         )
 
     async def _send_stop(self, order: StopOrder) -> None:
@@ -206,7 +207,7 @@
                 raise WorkerFenced(self._name)
             if outcome is StopOutcome.GONE:
                 self._planner.remove_ended_worker(
-                    self._name, now=now, unix_s=time.time()
+                    self._name, now=now, unix_s=clock.unix.now_s()
                 )
                 return
             if outcome is StopOutcome.STOPPED:
--- a/libs/planner/tests/test_containment.py
+++ b/libs/planner/tests/test_containment.py
@@ -185,6 +185,7 @@
         waves=lambda: (),
         encode_wave=lambda number, done: None,
         retention_s=60.0,
+        store_time_s=lambda: None,
     )
 
 
--- a/libs/planner/tests/test_takeover.py
+++ b/libs/planner/tests/test_takeover.py
@@ -159,6 +159,7 @@
         waves=lambda: (),
         encode_wave=lambda number, done: None,
         retention_s=60.0,
+        store_time_s=lambda: None,
     )
 
 
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -68,6 +68,13 @@
     "An unexpected error was confined to the named row, job, worker or call.",
     "Report the logged error.",
 )
+CLOCK_CORRECTED = Event(
+    1009,
+    "clock_corrected",
+    "WARNING",
+    "A new planner took over the Unix time of the other hosts; its own differs.",
+    "Check the time synchronization of the named host.",
+)
 SETTINGS_INVALID = Event(
     1101,
     "settings_invalid",
@@ -401,7 +408,7 @@
     4215, "start_not_done", "WARNING", "A worker did not confirm a start."
 )
 UNITS_EVICTED = Event(
-    4216, "units_evicted", "INFO", "Running work was evicted for a guaranteed job."
+    4216, "units_evicted", "INFO", "Running work was evicted for an urgent job."
 )
 ADVICE_TAKEN = Event(
     4217, "advice_taken", "INFO", "The advice service granted workers for a step."
