Pause the planner in the soak until all its leases have expired

The soak paused hosts for 5 s at most, while a worker lease lasts up to 12 s; so no run showed what a planner does that wakes without any permission.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,10 @@
 # Accepted jobs end within this time after the last fault: the expiry of a lease
 # (10 s), the takeover by another planner and the run time.
 SETTLE_TIMEOUT_S = 45.0
+# Longer than the leader lease and every worker lease that depends on it (12 s).
+LONG_PAUSE_S = 14.0
+# While no host holds the lease, the planner is looked for again after this time.
+LEADER_POLL_S = 0.1
 
 
 class ProxiedDeployment(Deployment):
@@ -71,13 +75,17 @@
 
     :param folder: folder of the settings files and logs
     :param seconds: time during which jobs are submitted and faults injected
+    :param long_pause: also pause the planner's host once until all its leases have
+        expired
     :ivar faults: injected faults, in order
     :ivar violations: descriptions of broken guarantees
     :ivar accepted: identifiers of accepted jobs
     :ivar refused: identifiers of refused jobs
     """
 
-    def __init__(self, folder: Path, seed: int, seconds: float) -> None:
+    def __init__(
+        self, folder: Path, seed: int, seconds: float, *, long_pause: bool = False
+    ) -> None:
         self.faults: list[str] = []
         self.violations: list[str] = []
         self.accepted: set[str] = set()
@@ -85,6 +93,7 @@
         self._rng = random.Random(seed)
         self._deployment = ProxiedDeployment(folder, work_s=0.8)
         self._seconds = seconds
+        self._long_pause = long_pause
         self._pending: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -92,6 +101,8 @@
         await self._deployment.start(hosts=HOSTS, workers=WORKERS)
         try:
             until = time.monotonic() + self._seconds
+            if self._long_pause:
+                self._pending.add(asyncio.create_task(self._pause_past_leases()))
             await asyncio.gather(self._submit(until), self._inject_faults(until))
             await asyncio.gather(*self._pending)
             await self._wait_for_jobs()
@@ -161,6 +172,19 @@
             await asyncio.sleep(seconds * 2)
             process.send_signal(signal.SIGCONT)
 
+    async def _pause_past_leases(self) -> None:
+        """Pause the planner's host for so long that it wakes with expired leases."""
+        await asyncio.sleep(self._rng.uniform(0.0, self._seconds / 2))
+        name = self._find_leader()
+        while name is None:
+            await asyncio.sleep(LEADER_POLL_S)
+            name = self._find_leader()
+        process = self._deployment.hosts[name]
+        self._record_fault(f"pause planner {name} {LONG_PAUSE_S:.1f}")
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(LONG_PAUSE_S)
+        process.send_signal(signal.SIGCONT)
+
     async def _stop(self, seconds: float) -> None:
         name = self._choose_host()
         self._record_fault(f"stop {name}")
@@ -222,13 +246,16 @@
     def _choose_host(self) -> str:
         """Return a random host; that of the active planner is preferred."""
         names = sorted(self._deployment.hosts)
-        if self._rng.random() < 0.5 and "lease" in self._deployment.store.rows(
-            "planner"
-        ):
-            leader = self._deployment.leader()
-            if leader in names:
-                return leader
-        return self._rng.choice(names)
+        prefer_leader = self._rng.random() < 0.5
+        leader = self._find_leader()
+        return leader if prefer_leader and leader else self._rng.choice(names)
+
+    def _find_leader(self) -> str | None:
+        """Return the host that holds the planner's lease, if there is one."""
+        if "lease" not in self._deployment.store.rows("planner"):
+            return None
+        leader = self._deployment.leader()
+        return leader if leader in self._deployment.hosts else None
 
     def _relaunch(self, name: str) -> None:
         if self._deployment.hosts[name].poll() is not None:
@@ -285,10 +312,10 @@
     return ".".join(str(part) for part in task)
 
 
-def run_seed(seed: int, seconds: float) -> Soak:
+def run_seed(seed: int, seconds: float, *, long_pause: bool = False) -> Soak:
     """Run a seed in a new folder, which is printed if a guarantee was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(folder, seed, seconds)
+    soak = Soak(folder, seed, seconds, long_pause=long_pause)
     asyncio.run(soak.run())
     if soak.violations:
         sys.stdout.write(f"seed {seed}: logs in {folder}\n")
@@ -300,11 +327,16 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", default="1-5", help="first-last")
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument(
+        "--long-pause",
+        action="store_true",
+        help="also pause the planner's host until all its leases have expired",
+    )
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     failed_seeds = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = run_seed(seed, arguments.seconds)
+        soak = run_seed(seed, arguments.seconds, long_pause=arguments.long_pause)
         failed_seeds += bool(soak.violations)
         verdict = "; ".join(soak.violations) or "ok"
         sys.stdout.write(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,3 +15,11 @@
     assert soak.faults
     assert soak.accepted
     assert soak.violations == []
+
+
+def test_a_planner_that_wakes_after_all_its_leases_breaks_no_guarantee():
+    """Guards against orders on a permission that ran out while the host was paused."""
+    soak = run_seed(3, seconds=8.0, long_pause=True)
+    assert any(fault.startswith("pause planner") for fault in soak.faults)
+    assert soak.accepted
+    assert soak.violations == []
