Keep a caller that cannot come back until the store is back or its time is over

Change: such a call is repeated by the host every 0.15 s until the caller's time is nearly over; all others are refused at once, as before. It is known neither that it cannot be served nor how long the outage lasts.

Weighed: keeping every attempt for a second, which serves few more, as urgent jobs that return after a second are still in time.

Tests: three in test_job_api.py, of which two fail before.

--- a/libs/jobs/src/bilberryhitch_jobs/job_api.py
+++ b/libs/jobs/src/bilberryhitch_jobs/job_api.py
@@ -1,5 +1,6 @@
 """Job API of an entry host: authenticates calls and runs operations on jobs."""
 
+import asyncio
 import time
 from collections.abc import Callable
 from enum import Enum, auto
@@ -11,13 +12,15 @@
 from .configuration import Configuration, Queue
 from .job_operations import JobOperations, OperationResult
 from .records import JobRequest, JobState, Schedule, Step
-from .retry_delay import retry_delay_s
+from .retry_delay import ATTEMPT_S, retry_delay_s
 
 # The store counts as unreachable after this time without a response: the watch of the
 # configuration gets one at least once a second.
 STORE_UNREACHABLE_AFTER_S = 2.0
 # Readiness ends earlier, as sending new callers to another host costs nothing.
 UNREADY_AFTER_S = 1.3
+# How often a caller's last attempt is repeated while the store is away.
+LAST_ATTEMPT_PERIOD_S = 0.15
 # A host without a configuration has just started and will have one soon.
 NO_CONFIGURATION_DELAY_S = 1
 
@@ -136,9 +139,11 @@
     async def submit(
         self, call: AdmittedCall, content: JobSubmission, deadline: float
     ) -> JobReply:
-        """Accept a job."""
-        if not self.store_reachable:
-            return self._refuse("store_unreachable", call.subpath, deadline)
+        """Accept a job.
+
+        A caller that has no time left to come back is not refused before its time is
+        over: the store may be back sooner.
+        """
         request = JobRequest(
             call.subpath,
             call.queue,
@@ -148,7 +153,14 @@
             clock.unix.now_s(),
             content.schedule,
         )
-        result = await self._operations.accept(request, deadline)
+        while True:
+            result = OperationResult.REFUSED
+            if self.store_reachable:
+                result = await self._operations.accept(request, deadline)
+            pause_s = self._last_attempt_pause_s(deadline)
+            if result is not OperationResult.REFUSED or pause_s <= 0:
+                break
+            await asyncio.sleep(pause_s)
         return self._to_reply(result, ReplyKind.ACCEPTED, call.subpath, deadline)
 
     async def cancel(self, call: AdmittedCall, deadline: float) -> JobReply:
@@ -181,7 +193,8 @@
         deadline: float,
     ) -> JobReply:
         if result is OperationResult.REFUSED:
-            return self._refuse("store_refused", request_id, deadline)
+            reason = "store_refused" if self.store_reachable else "store_unreachable"
+            return self._refuse(reason, request_id, deadline)
         kinds = {
             OperationResult.DONE: success,
             OperationResult.ABSENT: ReplyKind.NO_JOB,
@@ -189,6 +202,16 @@
         }
         return JobReply(kinds[result])
 
+    def _last_attempt_pause_s(self, deadline: float) -> float:
+        """Return the pause before a call on a caller's behalf is repeated.
+
+        :returns: 0 if the caller can come back itself or its time is nearly over
+        """
+        remaining_s = deadline - time.monotonic()
+        if retry_delay_s(remaining_s, self._store_silence_s) > 0:
+            return 0.0
+        return min(LAST_ATTEMPT_PERIOD_S, max(0.0, remaining_s - ATTEMPT_S))
+
     def _refuse(self, reason: str, request_id: str, deadline: float) -> JobReply:
         delay_s = retry_delay_s(deadline - time.monotonic(), self._store_silence_s)
         return _not_run(
--- a/libs/jobs/tests/test_job_api.py
+++ b/libs/jobs/tests/test_job_api.py
@@ -227,6 +227,66 @@
     assert store.calls == 0
 
 
+def submit_before_the_end_of_an_outage(*, remaining_s, ends_after_s):
+    """Submit a job to a host whose store is away for some time more.
+
+    :param remaining_s: time that the caller has left
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        store = Store()
+        back_at = loop.time() + ends_after_s
+        api = JobApi(
+            JobOperations(store, loop.time),
+            lambda: configuration(False),
+            lambda: loop.time() - (5.0 if loop.time() < back_at else 0.0),
+        )
+        call = api.admit("h", "/q/" + JOB, "k")
+        started_at = loop.time()
+        reply = await api.submit(call, CONTENT, loop.time() + remaining_s)
+        return reply, loop.time() - started_at, store
+
+    return run_virtual(run())
+
+
+@pytest.fixture
+def loop_time(monkeypatch):
+    """Let the API read the clock of the event loop."""
+    monkeypatch.setattr(time, "monotonic", lambda: asyncio.get_running_loop().time())
+
+
+def test_a_caller_that_cannot_come_back_is_served_when_the_store_is_back(loop_time):
+    """Guards against callers refused with half a second left, just before the store
+    answers again: no time to return can be told to them.
+    """
+    reply, took_s, store = submit_before_the_end_of_an_outage(
+        remaining_s=1.0, ends_after_s=0.5
+    )
+    assert reply.kind is ReplyKind.ACCEPTED
+    assert took_s < 0.7
+    assert ("jobs", "0", JOB) in store.rows
+
+
+def test_a_caller_that_cannot_come_back_is_refused_before_its_time_is_over(loop_time):
+    reply, took_s, store = submit_before_the_end_of_an_outage(
+        remaining_s=1.0, ends_after_s=9.0
+    )
+    assert reply.kind is ReplyKind.NOT_RUN
+    assert 0.7 <= took_s < 1.0
+    assert store.calls == 0
+
+
+def test_a_caller_that_can_come_back_is_refused_at_once(loop_time):
+    """Guards against callers that are held although they could come back in time."""
+    reply, took_s, _ = submit_before_the_end_of_an_outage(
+        remaining_s=2.9, ends_after_s=0.5
+    )
+    assert reply.kind is ReplyKind.NOT_RUN
+    assert reply.retry_after_s == 1
+    assert took_s < 0.1
+
+
 @pytest.mark.parametrize(
     ("silent_s", "ready"), [(0.0, True), (1.5, False), (60.0, False)]
 )
