--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -34,8 +34,8 @@
 # The objective of an urgent job leaves about one second besides its run time, and a
 # stop takes up to 0.9 s of it.
 PREEMPT_AFTER_S = 0.05
-# A preemption that is planned in vain among hundreds of workers costs more than the rest
-# of a round: the workers considered in vain are limited, and the unit tries again later.
+# A preemption planned in vain among hundreds of workers costs more than the rest of a
+# round: the workers considered in vain are limited, and the unit tries again later.
 MAX_WORKERS_IN_VAIN = 200
 PREEMPTION_RETRY_S = 0.2
 # How long the last attempt of a unit waits for a worker without a recent failure.
