--- a/libs/planner/src/bilberryhitch_planner/preemption.py
+++ b/libs/planner/src/bilberryhitch_planner/preemption.py
@@ -136,14 +136,14 @@
     return _cores(step) * step.estimate_s * len(unit.task_indexes)
 
 
-def gives_way(unit: Unit) -> bool:
+def preemptible_beyond_guarantee(unit: Unit) -> bool:
     """Return whether a unit may be stopped for urgent work beyond its guarantee.
 
     Only one that has not been stopped for urgent work before, so that a flood of urgent
     work does not starve the rest.
     """
     patient = unit.step.job.queue.priority > 0 and not unit.step.step.long_running
-    return patient and not unit.gave_way
+    return patient and not unit.preempted
 
 
 def _cores(step: Step) -> float:
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -20,7 +20,7 @@
     MAX_LOSS_SHARE,
     PreemptionPlan,
     estimated_core_seconds,
-    gives_way,
+    preemptible_beyond_guarantee,
     plan_preemption,
 )
 from .reports import AdviceRequest, StartOrder
@@ -34,9 +34,10 @@
 # The objective of an urgent job leaves about one second besides its run time, and a
 # stop takes up to 0.9 s of it.
 PREEMPT_AFTER_S = 0.05
-# A preemption planned in vain among hundreds of workers costs more than the rest of a
-# round: the workers considered in vain are limited, and the unit tries again later.
-MAX_WORKERS_IN_VAIN = 200
+# A plan for a preemption compares a unit with the runs of every worker. Plans that turn
+# out too costly are limited to this many compared workers a round, and the unit tries
+# again later; otherwise they dominate a round in a large pool.
+MAX_WORKERS_IN_FAILED_PLANS = 200
 PREEMPTION_RETRY_S = 0.2
 # How long the last attempt of a unit waits for a worker without a recent failure.
 SUSPECT_WAIT_S = 1.5
@@ -76,7 +77,7 @@
         self._guarantees = guarantees
         self._usable = usable
         self._blocked = blocked
-        self._workers_in_vain = 0
+        self._workers_in_failed_plans = 0
         self._now = now
         self._headroom = {
             service: headroom(pool.workers) for service, pool in usable.items()
@@ -293,7 +294,7 @@
         unit.across_racks = preemption.across_racks
         self._guarantees.claim(unit)
         for victim in preemption.units:
-            victim.gave_way = True
+            victim.preempted = True
             for run in victim.runs.values():
                 self._state.order_stop(run)
         log(
@@ -324,16 +325,18 @@
         if guaranteed:
             return self._plan_reclaim(unit, candidates)
         if (
-            self._workers_in_vain >= MAX_WORKERS_IN_VAIN
+            self._workers_in_failed_plans >= MAX_WORKERS_IN_FAILED_PLANS
             or self._now < unit.preemption_retry_at
             or slack_s(unit.step, self._now) < STOP_DURATION_S
         ):
             return None
-        plan = plan_preemption(unit, candidates, gives_way, self._now)
+        plan = plan_preemption(
+            unit, candidates, preemptible_beyond_guarantee, self._now
+        )
         most_lost = MAX_LOSS_SHARE * estimated_core_seconds(unit)
         if plan is not None and plan.cost <= most_lost:
             return plan
-        self._workers_in_vain += len(candidates)
+        self._workers_in_failed_plans += len(candidates)
         unit.preemption_retry_at = self._now + PREEMPTION_RETRY_S
         return None
 
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -34,7 +34,7 @@
         can be cleared for it
     :ivar adopted: all tasks of its latest run are known, although an earlier planner
         started it
-    :ivar gave_way: it has been stopped for urgent work
+    :ivar preempted: it has been stopped for urgent work
     :ivar preemption_retry_at: monotonic time before which no preemption beyond the
         guarantee is planned for it
     :ivar retry_at: monotonic time before which it is not started again
@@ -46,7 +46,7 @@
         "adopted",
         "done",
         "failed_runs",
-        "gave_way",
+        "preempted",
         "index",
         "last_run",
         "runs",
@@ -69,7 +69,7 @@
         self.runs: dict[int, Run] = {}
         self.across_racks = False
         self.adopted = False
-        self.gave_way = False
+        self.preempted = False
         self.preemption_retry_at = 0.0
         self.retry_at = 0.0
         self.waiting_since = step.job.arrived_at
--- a/libs/planner/tests/test_urgent_burst.py
+++ b/libs/planner/tests/test_urgent_burst.py
@@ -132,7 +132,7 @@
     assert len(stopped) == len(set(stopped)) <= 2
 
 
-def test_preemptions_planned_in_vain_do_not_lengthen_a_round(monkeypatch):
+def test_too_costly_preemptions_do_not_lengthen_a_round(monkeypatch):
     """Load: many urgent gangs wait while all that could be stopped for them is old.
 
     Guards against rounds that take seconds in a large pool, as each of them compares
@@ -149,12 +149,12 @@
         return plan_preemption(unit, *rest)
 
     monkeypatch.setattr(scheduling_round, "plan_preemption", count_plans)
-    monkeypatch.setattr(scheduling_round, "MAX_WORKERS_IN_VAIN", 8)
+    monkeypatch.setattr(scheduling_round, "MAX_WORKERS_IN_FAILED_PLANS", 8)
     rounds = 30
     for number in range(rounds):
         advance(harness, 30.1 + number * 0.01)
         assert stopped_tasks(harness.plan()) == []
-    # Two plans a round, each of four workers, and two for each gang in 0.3 s.
+    # At most two plans a round, each of four workers; two for each gang within 0.3 s.
     assert len(planned) <= 2 * rounds
     assert all(planned.count(job) <= 2 for job in planned)
 
@@ -167,7 +167,7 @@
     harness.start_all()
     (worker,) = harness.planner.workers.values()
     for run in worker.runs.values():
-        run.unit.gave_way = True
+        run.unit.preempted = True
     harness.add(request("urgent", step(gpu=8, gang=True)))
     advance(harness, 4.0)
     assert len(stopped_tasks(harness.plan())) == 1
