--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -20,8 +20,8 @@
     MAX_LOSS_SHARE,
     PreemptionPlan,
     estimated_core_seconds,
-    preemptible_beyond_guarantee,
     plan_preemption,
+    preemptible_beyond_guarantee,
 )
 from .reports import AdviceRequest, StartOrder
 from .reservations import Reservations
