--- a/libs/planner/src/bilberryhitch_planner/ordering.py
+++ b/libs/planner/src/bilberryhitch_planner/ordering.py
@@ -7,15 +7,6 @@
 LATE_MARGIN = 0.3
 
 
-def slack_s(step: StepOccurrence, now: float) -> float:
-    """Return how long a step can wait until its job is expected to miss its objective.
-
-    :param now: monotonic time in seconds
-    """
-    job = step.job
-    return job.objective_s - (now - job.arrived_at) - job.remaining_s(step.index)
-
-
 def step_sort_key(step: StepOccurrence, now: float) -> tuple[float, ...]:
     """Return the sort key of a step with waiting units.
 
@@ -24,6 +15,7 @@
 
     :param now: monotonic time in seconds
     """
-    slack = slack_s(step, now)
-    late = slack < -LATE_MARGIN * step.job.remaining_s(step.index)
-    return (step.job.queue.priority, late, slack)
+    job = step.job
+    left_s = job.remaining_s(step.index)
+    slack_s = job.objective_s - (now - job.arrived_at) - left_s
+    return (job.queue.priority, slack_s < -LATE_MARGIN * left_s, slack_s)
--- a/libs/planner/src/bilberryhitch_planner/preemption.py
+++ b/libs/planner/src/bilberryhitch_planner/preemption.py
@@ -15,9 +15,6 @@
 # A stop takes less than a second. If the capacity is not free after this time, the
 # preemption counts as failed.
 HOLD_TIMEOUT_S = 1.2
-# Urgent work beyond its account's guarantee stops other work only if what is lost is
-# less than this share of its own work.
-MAX_LOSS_SHARE = 0.5
 # A run that writes checkpoints loses about this much work at most.
 CHECKPOINT_PERIOD_S = 1.0
 
@@ -124,31 +121,11 @@
 def lost_core_seconds(unit: Unit, now: float) -> float:
     """Return the work that is lost if a unit is stopped, in core-seconds."""
     step = unit.step.step
+    cores = step.demand.cpu / 1000 + step.demand.gpu * CORES_PER_GPU
     elapsed = max((now - run.ordered_at for run in unit.runs.values()), default=0.0)
     if step.saves_progress:
         elapsed = min(elapsed, CHECKPOINT_PERIOD_S)
-    return _cores(step) * elapsed * len(unit.runs)
-
-
-def estimated_core_seconds(unit: Unit) -> float:
-    """Return the estimated work of a unit, in core-seconds."""
-    step = unit.step.step
-    return _cores(step) * step.estimate_s * len(unit.task_indexes)
-
-
-def preemptible_beyond_guarantee(unit: Unit) -> bool:
-    """Return whether a unit may be stopped for urgent work beyond its guarantee.
-
-    Only one that has not been stopped for urgent work before, so that a flood of urgent
-    work does not starve the rest.
-    """
-    patient = unit.step.job.queue.priority > 0 and not unit.step.step.long_running
-    return patient and not unit.preempted
-
-
-def _cores(step: Step) -> float:
-    """Return the resources of a task of a step, in cores."""
-    return step.demand.cpu / 1000 + step.demand.gpu * CORES_PER_GPU
+    return cores * elapsed * len(unit.runs)
 
 
 def _preempt_group(
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -6,9 +6,7 @@
 from bilberryhitch_telemetry import events, log
 
 from .cluster_state import ClusterState, format_task
-from .forecast import STOP_DURATION_S
 from .guarantees import Guarantees
-from .ordering import slack_s
 from .placement import (
     TaskPlacement,
     headroom,
@@ -16,13 +14,7 @@
     place_task,
     workers_with_room,
 )
-from .preemption import (
-    MAX_LOSS_SHARE,
-    PreemptionPlan,
-    estimated_core_seconds,
-    plan_preemption,
-    preemptible_beyond_guarantee,
-)
+from .preemption import PreemptionPlan, plan_preemption
 from .reports import AdviceRequest, StartOrder
 from .reservations import Reservations
 from .runs import Run
@@ -34,11 +26,6 @@
 # The objective of an urgent job leaves about one second besides its run time, and a
 # stop takes up to 0.9 s of it.
 PREEMPT_AFTER_S = 0.05
-# A plan for a preemption compares a unit with the runs of every worker. Plans that turn
-# out too costly are limited to this many compared workers a round, and the unit tries
-# again later; otherwise they dominate a round in a large pool.
-MAX_WORKERS_IN_FAILED_PLANS = 200
-PREEMPTION_RETRY_S = 0.2
 # How long the last attempt of a unit waits for a worker without a recent failure.
 SUSPECT_WAIT_S = 1.5
 # Wait before a task may run on another rack than its data, and the share of CPU that
@@ -77,7 +64,6 @@
         self._guarantees = guarantees
         self._usable = usable
         self._blocked = blocked
-        self._workers_in_failed_plans = 0
         self._now = now
         self._headroom = {
             service: headroom(pool.workers) for service, pool in usable.items()
@@ -275,7 +261,7 @@
         )
 
     def _preempt(self, unit: Unit, workers: Sequence[Worker]) -> bool:
-        """Preempt other work for an urgent unit, if that is allowed.
+        """Preempt other work if the unit is within its account's guarantee.
 
         :returns: whether capacity is being freed for the unit
         """
@@ -284,17 +270,22 @@
             return True
         self._state.preemptions.release(unit)
         waited_s = now - unit.waiting_since
-        if unit.step.job.queue.priority != 0 or waited_s < PREEMPT_AFTER_S:
+        if (
+            unit.step.job.queue.priority != 0
+            or waited_s < PREEMPT_AFTER_S
+            or not self._guarantees.covers(unit)
+        ):
             return False
-        guaranteed = self._guarantees.covers(unit)
-        preemption = self._plan_preemption(unit, workers, guaranteed=guaranteed)
+        candidates = [
+            each for each in workers if self._state.preemptions.allows(each, unit)
+        ]
+        preemption = self._plan_reclaim(unit, candidates)
         if preemption is None:
             return False
         self._state.preemptions.hold_workers(preemption.workers, unit, now)
         unit.across_racks = preemption.across_racks
         self._guarantees.claim(unit)
         for victim in preemption.units:
-            victim.preempted = True
             for run in victim.runs.values():
                 self._state.order_stop(run)
         log(
@@ -307,39 +298,9 @@
             ],
             lost_core_s=round(preemption.cost, 1),
             waited_s=round(waited_s, 3),
-            guaranteed=guaranteed,
         )
         return True
 
-    def _plan_preemption(
-        self, unit: Unit, workers: Sequence[Worker], *, guaranteed: bool
-    ) -> PreemptionPlan | None:
-        """Return the cheapest preemption for an urgent unit, or None if there is none.
-
-        Beyond its account's guarantee it must still be in time after the stop, and may
-        cost other work only a part of its own.
-        """
-        candidates = [
-            each for each in workers if self._state.preemptions.allows(each, unit)
-        ]
-        if guaranteed:
-            return self._plan_reclaim(unit, candidates)
-        if (
-            self._workers_in_failed_plans >= MAX_WORKERS_IN_FAILED_PLANS
-            or self._now < unit.preemption_retry_at
-            or slack_s(unit.step, self._now) < STOP_DURATION_S
-        ):
-            return None
-        plan = plan_preemption(
-            unit, candidates, preemptible_beyond_guarantee, self._now
-        )
-        most_lost = MAX_LOSS_SHARE * estimated_core_seconds(unit)
-        if plan is not None and plan.cost <= most_lost:
-            return plan
-        self._workers_in_failed_plans += len(candidates)
-        unit.preemption_retry_at = self._now + PREEMPTION_RETRY_S
-        return None
-
     def _plan_reclaim(
         self, unit: Unit, candidates: Sequence[Worker]
     ) -> PreemptionPlan | None:
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -34,9 +34,6 @@
         can be cleared for it
     :ivar adopted: all tasks of its latest run are known, although an earlier planner
         started it
-    :ivar preempted: it has been stopped for urgent work
-    :ivar preemption_retry_at: monotonic time before which no preemption beyond the
-        guarantee is planned for it
     :ivar retry_at: monotonic time before which it is not started again
     :ivar waiting_since: monotonic time since which it has been ready to run
     """
@@ -46,11 +43,9 @@
         "adopted",
         "done",
         "failed_runs",
-        "preempted",
         "index",
         "last_run",
         "runs",
-        "preemption_retry_at",
         "retry_at",
         "checkpoint",
         "step",
@@ -69,8 +64,6 @@
         self.runs: dict[int, Run] = {}
         self.across_racks = False
         self.adopted = False
-        self.preempted = False
-        self.preemption_retry_at = 0.0
         self.retry_at = 0.0
         self.waiting_since = step.job.arrived_at
 
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -408,7 +408,7 @@
     4215, "start_not_done", "WARNING", "A worker did not confirm a start."
 )
 UNITS_EVICTED = Event(
-    4216, "units_evicted", "INFO", "Running work was evicted for an urgent job."
+    4216, "units_evicted", "INFO", "Running work was evicted for a guaranteed job."
 )
 ADVICE_TAKEN = Event(
     4217, "advice_taken", "INFO", "The advice service granted workers for a step."
