--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -436,6 +436,13 @@
     "WARNING",
     "The store no longer retains the changes to continue from; the table is reloaded.",
 )
+STORE_TRANSFER_SLOW = Event(
+    6105,
+    "store_transfer_slow",
+    "WARNING",
+    "A response of the store arrived for more than a second.",
+    "Compare its size with the bandwidth of the host's link.",
+)
 ROW_UNREADABLE = Event(
     6103, "row_unreadable", "WARNING", "A row could not be decoded and is ignored."
 )
--- a/libs/telemetry/src/bilberryhitch_telemetry/metrics.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/metrics.py
@@ -51,6 +51,11 @@
     "bilberryhitch_store_errors",
     description="Failed calls to the platform's stores, by call and error.",
 )
+STORE_RECEIVED_BYTES = _meter.create_counter(
+    "bilberryhitch_store_received_bytes",
+    unit="By",
+    description="Bytes of the store's responses, of lost ones too, by call.",
+)
 STORE_SECONDS = _meter.create_histogram(
     "bilberryhitch_store_call_duration",
     unit="s",
