Read a response of the store to its end while it keeps arriving

Cause: a fixed time limit on a whole transfer whose size grows. The watch of the configuration gave up after 1.8 s; 1,180 KB take 2.04 s on a link of 577 KB/s. The transfer began again from the same revision and never ended.

Change: the limit holds for the time until a response begins and for each pause within it. Parts that arrive prove that the store is not silent. Relays pass a response on while it arrives, and break the connection when they cannot complete it. Callers of jobs keep their deadline: it ends a read that still arrives.

--- a/libs/jobs/src/bilberryhitch_jobs/job_operations.py
+++ b/libs/jobs/src/bilberryhitch_jobs/job_operations.py
@@ -237,7 +237,11 @@
         result = OperationResult.REFUSED
         while (remaining_s := deadline - self._now()) > MIN_CALL_TIMEOUT_S:
             try:
-                return await attempt(min(timeout_s, remaining_s))
+                # A response that is still arriving is given up at the deadline.
+                async with asyncio.timeout(remaining_s):
+                    return await attempt(min(timeout_s, remaining_s))
+            except TimeoutError:
+                result = OperationResult.UNKNOWN
             except StoreRefused as error:
                 _log_store_error(request_id, error)
                 if result is OperationResult.REFUSED:
--- a/libs/jobs/src/bilberryhitch_jobs/rows.py
+++ b/libs/jobs/src/bilberryhitch_jobs/rows.py
@@ -52,7 +52,11 @@
 
 
 class Store(Protocol):
-    """Interface of the store; each call raises one of ``STORE_ERRORS`` on failure."""
+    """Interface of the store; each call raises one of ``STORE_ERRORS`` on failure.
+
+    A ``timeout_s`` limits the time until a response begins and each pause within it.
+    How long a whole response takes depends on its size and is not limited.
+    """
 
     async def read(
         self,
--- a/libs/jobs/src/bilberryhitch_jobs/store_health.py
+++ b/libs/jobs/src/bilberryhitch_jobs/store_health.py
@@ -60,13 +60,18 @@
         due = self._due.pop(number)
         now = self._now()
         if answered:
-            self._unanswered_since = None
-            self._answered.set()
-            # Calls that are due already may be stuck on connections that were lost.
-            self._due = {each: max(at, now) for each, at in self._due.items()}
+            self.note_arrival()
         elif now - due > SILENCE_S and self.last_response_at < due:
             self._unanswered_since = due
 
+    def note_arrival(self) -> None:
+        """Record that a response or a part of one has arrived."""
+        now = self._now()
+        self._unanswered_since = None
+        self._answered.set()
+        # Calls that are due already may be stuck on connections that were lost.
+        self._due = {each: max(at, now) for each, at in self._due.items()}
+
     def note_response(self) -> None:
         """Record a response that was not a refusal."""
         self.last_response_at = self._now()
--- a/libs/jobs/tests/test_store_outage.py
+++ b/libs/jobs/tests/test_store_outage.py
@@ -223,3 +223,20 @@
         assert all(took < 0.1 for _, took in outcomes)
 
     run_virtual(run_scenario())
+
+
+def test_a_response_that_still_arrives_does_not_keep_a_caller_beyond_its_deadline():
+    """Guards against callers who hang on a slow transfer, which has no time limit."""
+
+    class SlowStore:
+        async def read(self, table, first="", last="", *, partition="", timeout_s):
+            await asyncio.sleep(3600)
+
+    async def ask():
+        operations = JobOperations(SlowStore(), now=loop_time)
+        deadline = loop_time() + CALLER_TIMEOUT_S
+        result, state = await operations.get_state("j", "a", deadline)
+        assert (result, state) == (OperationResult.REFUSED, None)
+        assert loop_time() <= deadline + 0.1
+
+    run_virtual(ask())
