Limit the size of a transaction of the planner's state

Change: rows are taken up to 128 KB a transaction. The new test failed before with transactions of 660 KB (30 jobs of 1,000 tasks).

--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -56,6 +56,9 @@
 
 # Progress rows of one transaction, below the platform's limit of 100 rows.
 MAX_ROWS_PER_COMMIT = 80
+# Size of their values, unless a single row is larger. A slow link of 300 KB/s delivers
+# that, with its base64 encoding, within the time limit of a call.
+MAX_BYTES_PER_COMMIT = 128_000
 RETRY_PAUSE_S = 0.1
 # Shorter waits are not worth an iteration of the event loop.
 MIN_WAIT_S = 0.001
@@ -282,11 +285,11 @@
         :raises Deposed: if another host holds the lease
         """
         now = clock.steady_s()
-        names = self._pop_dirty()
-        # Changes beyond the row limit are left to a later transaction.
+        names, writes = self._take_dirty()
+        # Changes beyond the limits are left to a later transaction.
         all_taken = not self._planner.dirty
         pending_rows, self._pending_rows = self._pending_rows, {}
-        writes = self._progress_writes(names) + list(pending_rows.values())
+        writes += pending_rows.values()
         renew = holder is not None or self._outcome_unknown or self._renewal_due(now)
         writes.append(self._lease_write(holder) if renew else COMMIT_MARK)
         summary = self._summary_write(now)
@@ -339,22 +342,26 @@
     def _renewal_due(self, now: float) -> bool:
         return now - self._renewed_at >= RENEWAL_PERIOD_S
 
-    def _pop_dirty(self) -> set[str]:
-        dirty = self._planner.dirty
-        if len(dirty) <= MAX_ROWS_PER_COMMIT:
-            self._planner.dirty = set()
-            return dirty
-        names = set(sorted(dirty)[:MAX_ROWS_PER_COMMIT])
-        self._planner.dirty = dirty - names
-        return names
+    def _take_dirty(self) -> tuple[set[str], list[RowWrite]]:
+        """Take the changed jobs that fit into one transaction.
 
-    def _progress_writes(self, names: set[str]) -> list[RowWrite]:
-        jobs = self._planner.jobs
-        return [
-            RowWrite(PROGRESS_TABLE, name, encode_progress(jobs[name].progress()))
-            for name in sorted(names)
-            if name in jobs
-        ]
+        :returns: their names and the rows with their progress
+        """
+        dirty, jobs = self._planner.dirty, self._planner.jobs
+        names: set[str] = set()
+        writes: list[RowWrite] = []
+        size = 0
+        for name in sorted(dirty):
+            if name in jobs:
+                value = encode_progress(jobs[name].progress())
+                size += len(value)
+                full = len(writes) == MAX_ROWS_PER_COMMIT or size > MAX_BYTES_PER_COMMIT
+                if writes and full:
+                    break
+                writes.append(RowWrite(PROGRESS_TABLE, name, value))
+            names.add(name)
+        self._planner.dirty = dirty - names
+        return names, writes
 
     def _lease_write(self, holder: str | None) -> RowWrite:
         self._renewal += 1
