Count the crashes of workers for the tasks that were on them

Crashes were not counted at all; a crashed run counted as lapsed.

Change: a progress row holds, for each task, how many workers crashed under its runs, and where its latest run was placed, on which life of the worker. A planner counts what it sees; a successor compares the stored placements with what the workers list, so that a crash that nobody saw is counted by whoever comes next. A task that was started shortly before a crash, or has two of them, runs alone from then on, on an idle and sound worker, and nothing is placed beside it. It is given up after two crashes there (proof), or after four whatever else happened. Neighbours run alone as well and are done. Ends that were announced do not count, nor do crashes of a long-running task that had worked for five minutes.

--- a/libs/jobs/src/bilberryhitch_jobs/__init__.py
+++ b/libs/jobs/src/bilberryhitch_jobs/__init__.py
@@ -12,7 +12,9 @@
 from .job_operations import JobOperations, OperationResult
 from .progress import (
     GANG_INDEX,
+    CrashCount,
     JobProgress,
+    Placement,
     UnitProgress,
     decode_progress,
     decode_request,
@@ -47,7 +49,9 @@
     "Configuration",
     "Resources",
     "JobApi",
+    "CrashCount",
     "ExpectedRevision",
+    "Placement",
     "TableWatcher",
     "JobSubmission",
     "JobProgress",
--- a/libs/jobs/src/bilberryhitch_jobs/progress.py
+++ b/libs/jobs/src/bilberryhitch_jobs/progress.py
@@ -1,5 +1,7 @@
 """Durable progress of a job, and the encoding of its rows."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
@@ -10,6 +12,33 @@
 
 # Index of the unit that stands for a whole gang.
 GANG_INDEX = -1
+# A larger row is stored without the placements of its runs: the store takes 64 KB.
+MAX_BYTES_WITH_PLACEMENTS = 60_000
+
+
+class CrashCount(NamedTuple):
+    """Crashes of workers that a run of one task was on.
+
+    :param total: all of them, whatever their cause
+    :param early: those shortly after the run had begun
+    :param alone: those early ones on a sound worker that ran nothing else
+    """
+
+    total: int = 0
+    early: int = 0
+    alone: int = 0
+
+
+class Placement(NamedTuple):
+    """Where a run that may exist was ordered.
+
+    :param worker: identifier of the worker
+    :param started_ms: Unix time of the worker's start in ms, which changes when it
+        starts again under its identifier; 0 if unknown
+    """
+
+    worker: str
+    started_ms: int = 0
 
 
 class UnitProgress(NamedTuple):
@@ -19,12 +48,16 @@
     :param last_run: highest run number used so far
     :param failed_runs: numbers of the failed runs, without duplicates
     :param checkpoint: last checkpoint; empty for none
+    :param crashes: crash counts by index of the task; tasks without one are left out
+    :param placements: placements of the latest run by index of the task
     """
 
     done: bool = False
     last_run: int = 0
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
+    crashes: Mapping[int, CrashCount] = MappingProxyType({})
+    placements: Mapping[int, Placement] = MappingProxyType({})
 
 
 class JobProgress(NamedTuple):
@@ -47,6 +80,12 @@
     finished_s: float
     # (occurrence, step, index, done, last_run, failed_runs, checkpoint)
     units: list[tuple[int, int, int, bool, int, list[int], str]]
+    # Earlier versions neither write nor read what follows.
+    # (occurrence, step, index, task, total, early, alone)
+    crashes: list[tuple[int, int, int, int, int, int, int]] = []
+    workers: list[Placement] = []
+    # (occurrence, step, index, task, position in ``workers``)
+    placements: list[tuple[int, int, int, int, int]] = []
 
 
 class _RequestRow(msgspec.Struct, array_like=True):
@@ -69,23 +108,32 @@
 def encode_progress(progress: JobProgress) -> bytes:
     """Return the value of a progress row; units of a finished job are left out."""
     units = [] if progress.finished_s else sorted(progress.units.items())
-    return _encode(
-        _ProgressRow(
-            progress.state,
-            progress.account,
-            progress.finished_s,
-            [
-                (
-                    *key,
-                    unit.done,
-                    unit.last_run,
-                    list(unit.failed_runs),
-                    unit.checkpoint,
-                )
-                for key, unit in units
-            ],
-        )
+    workers: dict[Placement, int] = {}
+    row = _ProgressRow(
+        progress.state,
+        progress.account,
+        progress.finished_s,
+        [
+            (*key, unit.done, unit.last_run, list(unit.failed_runs), unit.checkpoint)
+            for key, unit in units
+        ],
+        [
+            (*key, task, *count)
+            for key, unit in units
+            for task, count in unit.crashes.items()
+        ],
+        placements=[
+            (*key, task, workers.setdefault(placement, len(workers)))
+            for key, unit in units
+            for task, placement in unit.placements.items()
+        ],
     )
+    row.workers = list(workers)
+    value = _encode(row)
+    if len(value) > MAX_BYTES_WITH_PLACEMENTS:
+        row.workers, row.placements = [], []
+        value = _encode(row)
+    return value
 
 
 def decode_progress(key: str, value: bytes) -> JobProgress:
@@ -96,27 +144,49 @@
     """
     try:
         row = _progress_decoder.decode(value)
-    except UNREADABLE_ERRORS as error:
+        crashes, placements = _decode_crashes(row), _decode_placements(row)
+    except (*UNREADABLE_ERRORS, IndexError) as error:
         raise RowUnreadable(key, str(error)) from error
-    return JobProgress(
-        row.state,
-        row.account,
-        {
-            (occurrence, step, index): UnitProgress(
-                done, last_run, tuple(failed_runs), checkpoint
-            )
-            for (
-                occurrence,
-                step,
-                index,
-                done,
-                last_run,
-                failed_runs,
-                checkpoint,
-            ) in row.units
-        },
-        row.finished_s,
-    )
+    units = {
+        (occurrence, step, index): UnitProgress(
+            done,
+            last_run,
+            tuple(failed_runs),
+            checkpoint,
+            crashes.get((occurrence, step, index), {}),
+            placements.get((occurrence, step, index), {}),
+        )
+        for (
+            occurrence,
+            step,
+            index,
+            done,
+            last_run,
+            failed_runs,
+            checkpoint,
+        ) in row.units
+    }
+    return JobProgress(row.state, row.account, units, row.finished_s)
+
+
+def _decode_crashes(
+    row: _ProgressRow,
+) -> dict[tuple[int, int, int], dict[int, CrashCount]]:
+    found: dict[tuple[int, int, int], dict[int, CrashCount]] = {}
+    for occurrence, step, index, task, *counts in row.crashes:
+        unit = found.setdefault((occurrence, step, index), {})
+        unit[task] = CrashCount(*counts)
+    return found
+
+
+def _decode_placements(
+    row: _ProgressRow,
+) -> dict[tuple[int, int, int], dict[int, Placement]]:
+    found: dict[tuple[int, int, int], dict[int, Placement]] = {}
+    for occurrence, step, index, task, position in row.placements:
+        unit = found.setdefault((occurrence, step, index), {})
+        unit[task] = row.workers[position]
+    return found
 
 
 def encode_request(request: JobRequest) -> bytes:
--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -4,6 +4,7 @@
 from bilberryhitch_telemetry import events, log
 
 from .advice import Permissions
+from .crashes import LostTask, count_crash, is_proof, lost_task
 from .preemption import PendingPreemptions
 from .reports import (
     EndedTask,
@@ -40,6 +41,8 @@
     :ivar ready: steps whose dependencies are done, by job, occurrence and step index
     :ivar preemptions: capacity that is being freed for urgent units
     :ivar permissions: permissions of the advice service, by the same key as ``ready``
+    :ivar inherited_placements: tasks whose latest run an earlier planner had placed on
+        a worker that has not listed its runs yet, by identifier of the worker
     """
 
     def __init__(self) -> None:
@@ -50,6 +53,7 @@
         self.ready: dict[tuple[str, int, int], StepOccurrence] = {}
         self.preemptions = PendingPreemptions()
         self.permissions: dict[tuple[str, int, int], Permissions] = {}
+        self.inherited_placements: dict[str, list[tuple[Unit, int]]] = {}
 
     def permissions_of(self, step: StepOccurrence) -> Permissions | None:
         """Return the permissions of a step; None if its queue needs none."""
@@ -136,11 +140,114 @@
             return
         if unit.runs.get(run.task.ordinal) is run:
             del unit.runs[run.task.ordinal]
+            unit.placements.pop(run.task.ordinal, None)
         if not unit.step.job.finished:
             self._apply_unit_end(
                 unit, run.number, how, checkpoint or run.checkpoint, now, unix_s
             )
 
+    def inherit_placements(self, job: TrackedJob, unix_s: float) -> None:
+        """Remember where an earlier planner had placed the runs of a job.
+
+        That planner may have removed a worker and not stored yet what ran there.
+        """
+        lost: dict[str, list[LostTask]] = {}
+        for unit in job.units:
+            for index, (worker, _) in list(unit.placements.items()):
+                if worker in self.workers:
+                    tasks = self.inherited_placements.setdefault(worker, [])
+                    tasks.append((unit, index))
+                else:
+                    del unit.placements[index]
+                    lost.setdefault(worker, []).append(LostTask(unit, index))
+        for worker, lost_tasks in lost.items():
+            self._count_crash(worker, lost_tasks, unix_s, certain=True)
+
+    def settle_inherited(self, worker: Worker, started_ms: int, unix_s: float) -> None:
+        """Settle the inherited placements on a worker that lists its runs.
+
+        :param started_ms: Unix time of the worker's start in ms
+        """
+        crashed = []
+        for unit, index in self._pop_inherited(worker.entry.worker):
+            placement = unit.placements.pop(index)
+            if placement.started_ms not in (0, started_ms):
+                crashed.append(LostTask(unit, index))
+        self._count_crash(worker.entry.worker, crashed, unix_s, certain=True)
+
+    def release_lost_runs(
+        self,
+        worker: Worker,
+        now: float,
+        unix_s: float,
+        *,
+        crashed: bool,
+        certain: bool = True,
+    ) -> None:
+        """Release all runs of a worker that can no longer run any of them.
+
+        :param crashed: its end was not announced
+        :param certain: it has ended; otherwise it may only have been unreachable
+        """
+        lost = [
+            lost_task(worker, run, run.unit)
+            for run in worker.runs.values()
+            if run.unit is not None
+        ]
+        for unit, index in self._pop_inherited(worker.entry.worker):
+            del unit.placements[index]
+            lost.append(LostTask(unit, index))
+        if crashed:
+            proof = certain and is_proof(worker, lost)
+            self._count_crash(
+                worker.entry.worker, lost, unix_s, certain=certain, proof=proof
+            )
+        for run in list(worker.runs.values()):
+            self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
+
+    def _pop_inherited(self, worker: str) -> list[tuple[Unit, int]]:
+        """Return the tasks that may have a run on a worker which it has not listed."""
+        return [
+            (unit, index)
+            for unit, index in self.inherited_placements.pop(worker, ())
+            if not unit.step.job.finished
+            and index not in unit.runs
+            and index in unit.placements
+            and unit.placements[index].worker == worker
+        ]
+
+    def _count_crash(
+        self,
+        worker: str,
+        lost: list[LostTask],
+        unix_s: float,
+        *,
+        certain: bool,
+        proof: bool = False,
+    ) -> None:
+        """Count the crash of a worker; give up the jobs whose tasks cause crashes."""
+        if not lost:
+            return
+        count_crash(lost, certain=certain, proof=proof)
+        log(
+            events.WORKER_CRASHED,
+            worker=worker,
+            certain=certain,
+            proof=proof,
+            tasks=[format_task(each.unit.task(each.task_index)) for each in lost],
+        )
+        for each in lost:
+            job = each.unit.step.job
+            self.dirty.add(job.request.job)
+            if each.unit.crashes_workers and not each.unit.done and not job.finished:
+                log(
+                    events.TASK_GIVEN_UP,
+                    request_id=job.request.job,
+                    task=format_task(each.unit.task(each.task_index)),
+                    **each.unit.crashes[each.task_index]._asdict(),
+                )
+                self.finish_job(job, JobState.FAILED, unix_s)
+
     def _apply_unit_end(
         self,
         unit: Unit,
@@ -191,6 +298,7 @@
         run = worker.runs.get((running.task, running.run))
         if run is None:
             run = self._adopt(worker, running, now)
+        run.confirmed = True
         if run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
         if run.state is RunState.RUNNING and run.settled_at is None:
@@ -231,6 +339,7 @@
         )
         run.settled_at = now
         run.cpu_percent_known = False
+        run.exclusive = demand is None or (unit is not None and unit.isolated)
         worker.add_run(run)
         log(
             events.RUN_ADOPTED,
@@ -245,6 +354,7 @@
             return run
         run.state = RunState.RUNNING
         unit.runs[running.task.ordinal] = run
+        unit.placements[running.task.ordinal] = worker.placement
         unit.last_run = running.run
         # The missing members of a gang may be on workers that cannot be reached.
         unit.adopted = len(unit.runs) == len(unit.task_indexes)
--- a/libs/planner/src/bilberryhitch_planner/forecast.py
+++ b/libs/planner/src/bilberryhitch_planner/forecast.py
@@ -23,13 +23,22 @@
     :ivar made_at: monotonic time at which it was made
     """
 
-    __slots__ = ("_capacity", "_ends", "_found", "_free", "lasts", "made_at")
+    __slots__ = (
+        "_capacity",
+        "_ends",
+        "_exclusive",
+        "_found",
+        "_free",
+        "lasts",
+        "made_at",
+    )
 
     def __init__(self, worker: Worker, now: float) -> None:
         runs = worker.runs.values()
         self.lasts = all(run.state is not RunState.STOPPING for run in runs)
         self.made_at = now
         self._capacity = worker.entry.capacity
+        self._exclusive = worker.exclusive
         self._free = worker.free
         self._ends = sorted(
             ((_expected_end(run, now), run.demand) for run in runs),
@@ -37,6 +46,11 @@
         )
         self._found: dict[DemandKey, tuple[float, int]] = {}
 
+    @property
+    def idle_at(self) -> float:
+        """Monotonic time at which the last run ends; minus infinity without runs."""
+        return self._ends[-1][0] if self._ends else float("-inf")
+
     def available_at(self, step: Step, key: DemandKey) -> tuple[float, int]:
         """Return when as many tasks of a step fit as the worker can hold.
 
@@ -51,6 +65,8 @@
 
     def _search(self, step: Step) -> tuple[float, int]:
         most = slots(self._capacity, step)
+        if self._exclusive:
+            return self.idle_at, most
         free_at, free = float("-inf"), self._free
         for end, demand in self._ends:
             if slots(free, step) >= most:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -168,12 +168,12 @@
         if job.complete:
             self._state.finish_job(job, JobState.COMPLETED, unix_s)
             return
-        for unit in job.units:
-            if not unit.done and unit.failed_runs and unit.attempts_left <= 0:
-                self._state.finish_job(job, JobState.FAILED, unix_s)
-                return
+        if any(unit.hopeless for unit in job.units):
+            self._state.finish_job(job, JobState.FAILED, unix_s)
+            return
         self._newest_revision = max(self._newest_revision, revision)
         self._state.queue_ready_steps(job, now)
+        self._state.inherit_placements(job, unix_s)
 
     def cancel_job(self, name: str, *, unix_s: float) -> None:
         """Cancel a job; a finished one is left unchanged."""
@@ -229,15 +229,20 @@
         worker = self.workers.pop(name, None)
         if worker is None:
             return
-        log(events.WORKER_GONE, worker=name, runs=len(worker.runs))
+        announced = self._end_announced(worker)
+        log(
+            events.WORKER_GONE,
+            worker=name,
+            runs=len(worker.runs),
+            announced=announced,
+        )
         self._recent_ends = {
             address: ended
             for address, ended in self._recent_ends.items()
             if now - ended[0] < RESTART_MEMORY_S
         }
         self._recent_ends[worker.entry.address] = (now, worker.failures)
-        for run in list(worker.runs.values()):
-            self._state.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
+        self._state.release_lost_runs(worker, now, unix_s, crashed=not announced)
 
     def apply_heartbeat(
         self,
@@ -257,8 +262,8 @@
             return
         if worker.started_ms not in (0, reply.started_ms):
             # The worker restarted under the same identifier: its runs are gone.
-            for run in list(worker.runs.values()):
-                self._state.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
+            announced = self._end_announced(worker)
+            self._state.release_lost_runs(worker, now, unix_s, crashed=not announced)
             worker.last_end_sequence = 0
             worker.record_failure(now)
         worker.started_ms = reply.started_ms
@@ -272,6 +277,7 @@
         for running in reply.running:
             listed.add((running.task, running.run))
             self._state.apply_running(worker, running, now)
+        self._state.settle_inherited(worker, reply.started_ms, unix_s)
         self._state.orders += throttle_orders(worker, now)
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
             for key, run in list(worker.runs.items()):
@@ -300,6 +306,7 @@
             return
         if outcome is StartOutcome.STARTED:
             run.settled_at = now
+            run.confirmed = True
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
                 run.advanced_at = now
@@ -373,10 +380,13 @@
                 if worker.runs:
                     log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
                 worker.synced = worker.synced or not worker.registered
-                for run in list(worker.runs.values()):
-                    self._state.release_run(
-                        worker, run, EndKind.LAPSED, "", now, unix_s
-                    )
+                self._state.release_lost_runs(
+                    worker,
+                    now,
+                    unix_s,
+                    crashed=not self._end_announced(worker),
+                    certain=False,
+                )
                 if not worker.registered:
                     del self.workers[name]
                 continue
@@ -385,6 +395,10 @@
                 for run in list(worker.runs.values()):
                     self._state.stop_if_stalled(worker, run)
 
+    def _end_announced(self, worker: Worker) -> bool:
+        """Return whether a worker was expected to end."""
+        return worker.entry.draining or worker.entry.worker in self.cordoned
+
     def add_unregistered_worker(self, name: str, *, now: float) -> None:
         """Add an unregistered worker that may still have runs."""
         if name not in self.workers:
--- a/libs/planner/src/bilberryhitch_planner/reservations.py
+++ b/libs/planner/src/bilberryhitch_planner/reservations.py
@@ -1,5 +1,7 @@
 """Reserves workers for waiting gangs, so that smaller work does not starve them.
 
+Units that must run alone wait for idle workers in the same way.
+
 A wide gang needs many workers at the same time. Without a reservation smaller units
 take each worker as it becomes free, and the gang never starts in a busy pool.
 """
@@ -8,6 +10,7 @@
 from typing import NamedTuple
 
 from .forecast import demand_key, forecast
+from .placement import total_slots
 from .units import Unit
 from .worker_pool import WorkerPool
 from .workers import Worker
@@ -96,13 +99,17 @@
         :param most: limit on the number of reserved workers
         """
         step = unit.step.step
-        missing = step.task_count
+        missing = len(unit.task_indexes)
         names: list[str] = []
         ready_at = self._now
         key = demand_key(step)
         free_at = []
         for worker in group:
-            at, count = forecast(worker, self._now).available_at(step, key)
+            expected = forecast(worker, self._now)
+            if unit.isolated:
+                at, count = expected.idle_at, total_slots(worker, step)
+            else:
+                at, count = expected.available_at(step, key)
             if count > 0:
                 at = max(at, self._now)
                 free_at.append((at, -worker.free.gpu, worker.entry.worker, count))
--- a/libs/planner/src/bilberryhitch_planner/runs.py
+++ b/libs/planner/src/bilberryhitch_planner/runs.py
@@ -38,11 +38,15 @@
         heartbeat reply without the run proves that it has ended. None while the run
         may still appear.
     :ivar advanced_at: monotonic time of the last observed progress
+    :ivar confirmed: the worker has confirmed its start or listed it
+    :ivar exclusive: nothing else may be placed on its worker
     """
 
     __slots__ = (
         "advanced_at",
+        "confirmed",
         "demand",
+        "exclusive",
         "load",
         "number",
         "ordered_at",
@@ -84,3 +88,5 @@
         self.ordered_at = now
         self.advanced_at = now
         self.settled_at: float | None = None
+        self.confirmed = False
+        self.exclusive = False
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -32,6 +32,9 @@
 # must be idle for that.
 REMOTE_DATA_AFTER_S = 1.5
 IDLE_SHARE = 0.5
+# How long a unit that may crash workers waits for one that runs nothing, while most of
+# the pool is idle but other work runs on every worker.
+ISOLATION_WAIT_S = 2.0
 EMPTY_POOL = WorkerPool(())
 
 
@@ -92,7 +95,7 @@
             )
         any_rack = self._remote_data_allowed(step, pool.workers)
         if not step.step.gang and step.job.queue.priority > 0:
-            self._place_tasks(step, pool, any_rack)
+            self._place_tasks(step, pool, whole_pool, any_rack)
             return
         for unit in list(step.waiting.values()):
             if not self._may_place(unit):
@@ -100,20 +103,33 @@
             members = self._place(unit, pool, any_rack)
             if members is not None:
                 self._start(unit, members)
+            elif unit.isolated:
+                self.reserved.reserve(unit, pool.workers, whole_pool)
             elif not self._preempt(unit, pool.workers):
                 if step.step.gang:
                     self.reserved.reserve(unit, pool.workers, whole_pool)
                 break
 
     def _place_tasks(
-        self, step: StepOccurrence, pool: WorkerPool, any_rack: bool
+        self,
+        step: StepOccurrence,
+        pool: WorkerPool,
+        whole_pool: WorkerPool,
+        any_rack: bool,
     ) -> None:
         """Start the waiting single tasks of a step that may not preempt other work.
 
         Such tasks have no workers of their own set aside, so all of them may use the
         same ones.
         """
-        units = [unit for unit in step.waiting.values() if self._may_place(unit)]
+        units = []
+        for unit in list(step.waiting.values()):
+            if not self._may_place(unit):
+                continue
+            if unit.isolated:
+                self._place_isolated(unit, pool, whole_pool, any_rack)
+            else:
+                units.append(unit)
         if not units:
             return
         allowed = self._allowed_workers(units[0], pool.workers)
@@ -123,7 +139,7 @@
         for unit in units:
             worker = choices.next_worker()
             if worker is None and not only_suspects and len(healthy) < len(allowed):
-                if self._waits_for_healthy(unit):
+                if self._waits_for_healthy(unit, pool):
                     return
                 only_suspects = True
                 choices = TaskPlacement(step, allowed, any_rack=any_rack)
@@ -132,6 +148,16 @@
                 return
             self._start(unit, {unit.index: worker})
 
+    def _place_isolated(
+        self, unit: Unit, pool: WorkerPool, whole_pool: WorkerPool, any_rack: bool
+    ) -> None:
+        """Start a unit that runs alone, or reserve a worker for it."""
+        members = self._place(unit, pool, any_rack)
+        if members is not None:
+            self._start(unit, members)
+        else:
+            self.reserved.reserve(unit, pool.workers, whole_pool)
+
     def _may_place(self, unit: Unit) -> bool:
         """Return whether a unit may be started at this moment."""
         inherited = self._blocked and unit.step.job.inherited and not unit.adopted
@@ -139,9 +165,20 @@
 
     def _allowed_workers(self, unit: Unit, workers: Sequence[Worker]) -> list[Worker]:
         """Return the workers that have room for a task and are not kept for others."""
-        return self._unreserved_workers(
+        allowed = self._unreserved_workers(
             unit, workers_with_room(workers, unit.step.step)
         )
+        if not unit.isolated or self._may_share_workers(unit, workers):
+            return allowed
+        return [worker for worker in allowed if not worker.runs]
+
+    def _may_share_workers(self, unit: Unit, workers: Sequence[Worker]) -> bool:
+        """Return whether a unit that should run alone may run beside others.
+
+        In a pool that is mostly idle, work that never ends may keep every worker busy.
+        """
+        waited_s = self._now - unit.waiting_since
+        return waited_s > ISOLATION_WAIT_S and _mostly_idle(workers)
 
     def _unreserved_workers(
         self, unit: Unit, workers: Sequence[Worker]
@@ -150,24 +187,29 @@
         job = unit.step.job
         set_aside = self._headroom.get(job.queue.service, frozenset())
         urgent = job.queue.priority == 0
+        may_use_headroom = urgent or unit.isolated
         # A unit within its guarantee may use workers reserved for other gangs.
         guaranteed = urgent and self._guarantees.covers(unit)
         allows = self._state.preemptions.allows
         return [
             worker
             for worker in workers
-            if allows(worker, unit)
+            if not worker.exclusive
+            and allows(worker, unit)
             and (guaranteed or self.reserved.allows(worker, unit))
-            and (urgent or worker.entry.worker not in set_aside)
+            and (may_use_headroom or worker.entry.worker not in set_aside)
         ]
 
-    def _waits_for_healthy(self, unit: Unit) -> bool:
+    def _waits_for_healthy(self, unit: Unit, pool: WorkerPool) -> bool:
         """Return whether a unit waits for a worker without a recent failure.
 
-        The last attempt of a unit does so for a while.
+        The last attempt of a unit does so for a while, and one that may crash workers
+        if there are others: the crash of a worker that fails anyway proves nothing.
         """
-        last_attempt = unit.attempts_left <= 1 and bool(unit.failed_runs)
-        return last_attempt and self._now - unit.waiting_since < SUSPECT_WAIT_S
+        careful = unit.attempts_left <= 1 and bool(unit.failed_runs)
+        if unit.isolated and not careful:
+            careful = any(not each.suspect(self._now) for each in pool.workers)
+        return careful and self._now - unit.waiting_since < SUSPECT_WAIT_S
 
     def _place(
         self, unit: Unit, pool: WorkerPool, any_rack: bool
@@ -181,7 +223,7 @@
         members = self._choose(unit, healthy, pool, any_rack, with_suspects=False)
         if members is not None or len(healthy) == len(allowed):
             return members
-        if self._waits_for_healthy(unit):
+        if self._waits_for_healthy(unit, pool):
             return None
         return self._choose(unit, allowed, pool, any_rack, with_suspects=True)
 
@@ -222,12 +264,12 @@
         waiting_since = min(unit.waiting_since for unit in step.waiting.values())
         if self._now - waiting_since < REMOTE_DATA_AFTER_S:
             return False
-        total = sum(worker.entry.capacity.cpu for worker in workers)
-        return sum(worker.free.cpu for worker in workers) > total * IDLE_SHARE
+        return _mostly_idle(workers)
 
     def _start(self, unit: Unit, members: dict[int, Worker]) -> None:
         step, job, now = unit.step, unit.step.job, self._now
         unit.last_run += 1
+        unit.placements.clear()
         step.waiting.pop(unit.index, None)
         self._state.preemptions.release(unit)
         demand = step.step.reserved_resources
@@ -235,7 +277,9 @@
         for index, worker in members.items():
             name = worker.entry.worker
             run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
+            run.exclusive = unit.isolated
             unit.runs[index] = run
+            unit.placements[index] = worker.placement
             worker.add_run(run)
             self._state.orders.append(
                 StartOrder(
@@ -277,7 +321,9 @@
         ):
             return False
         candidates = [
-            each for each in workers if self._state.preemptions.allows(each, unit)
+            each
+            for each in workers
+            if not each.exclusive and self._state.preemptions.allows(each, unit)
         ]
         preemption = self._plan_reclaim(unit, candidates)
         if preemption is None:
@@ -319,3 +365,9 @@
         if plan is not None and not plan.across_racks:
             return plan
         return plan_preemption(unit, candidates, allows, self._now)
+
+
+def _mostly_idle(workers: Sequence[Worker]) -> bool:
+    """Return whether more than ``IDLE_SHARE`` of the processor cores are free."""
+    total = sum(worker.entry.capacity.cpu for worker in workers)
+    return sum(worker.free.cpu for worker in workers) > total * IDLE_SHARE
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -9,9 +9,11 @@
 from bilberryhitch_jobs import (
     FINISHED_STATES,
     GANG_INDEX,
+    CrashCount,
     JobProgress,
     JobRequest,
     JobState,
+    Placement,
     Queue,
     Resources,
     Step,
@@ -21,6 +23,14 @@
 
 from .runs import Run
 
+# Crashes of sound workers on which a task was alone after which it is given up.
+MAX_CRASHES_ALONE = 2
+# Crashes after which a task is given up whatever else was on the workers: a task that
+# crashes workers must not be started for ever.
+MAX_CRASHES = 4
+# Crashes, also long after its start, after which a task runs alone.
+ISOLATING_CRASHES = 2
+
 
 class Unit:
     """A gang or a single task, placed as a whole.
@@ -29,6 +39,9 @@
     :ivar last_run: number of the latest run; 0 before the first
     :ivar failed_runs: numbers of the failed runs
     :ivar checkpoint: latest checkpoint; empty if there is none
+    :ivar crashes: crashes of workers that its runs were on, by index of the task
+    :ivar placements: where its latest run was ordered, by index of the task; tasks
+        whose run has ended are left out
     :ivar runs: runs that may exist, by index of the task
     :ivar across_racks: capacity is being freed across racks, since no single rack
         can be cleared for it
@@ -41,10 +54,12 @@
     __slots__ = (
         "across_racks",
         "adopted",
+        "crashes",
         "done",
         "failed_runs",
         "index",
         "last_run",
+        "placements",
         "runs",
         "retry_at",
         "checkpoint",
@@ -61,6 +76,8 @@
         self.last_run = progress.last_run
         self.failed_runs = set(progress.failed_runs)
         self.checkpoint = progress.checkpoint
+        self.crashes: dict[int, CrashCount] = dict(progress.crashes)
+        self.placements: dict[int, Placement] = dict(progress.placements)
         self.runs: dict[int, Run] = {}
         self.across_racks = False
         self.adopted = False
@@ -85,11 +102,40 @@
         """Number of further failed runs after which the job fails."""
         return self.step.job.queue.max_attempts - len(self.failed_runs)
 
+    @property
+    def isolated(self) -> bool:
+        """Whether it runs alone on its workers, as one of its tasks may crash them."""
+        return any(
+            count.early or count.total >= ISOLATING_CRASHES
+            for count in self.crashes.values()
+        )
+
+    @property
+    def crashes_workers(self) -> bool:
+        """Whether one of its tasks crashes workers, so that it cannot be done."""
+        return any(
+            count.alone >= MAX_CRASHES_ALONE or count.total >= MAX_CRASHES
+            for count in self.crashes.values()
+        )
+
+    @property
+    def hopeless(self) -> bool:
+        """Whether it must not be started again."""
+        if self.done:
+            return False
+        no_attempts = bool(self.failed_runs) and self.attempts_left <= 0
+        return no_attempts or self.crashes_workers
+
     @property
     def progress(self) -> UnitProgress:
         """Progress of the unit to be stored."""
         return UnitProgress(
-            self.done, self.last_run, tuple(sorted(self.failed_runs)), self.checkpoint
+            self.done,
+            self.last_run,
+            tuple(sorted(self.failed_runs)),
+            self.checkpoint,
+            {} if self.done else self.crashes,
+            {} if self.done else self.placements,
         )
 
 
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from bilberryhitch_jobs import TaskName
+from bilberryhitch_jobs import Placement, TaskName
 
 from .reports import WorkerEntry
 from .runs import Run
@@ -46,6 +46,7 @@
     :ivar started_ms: Unix time of its start in ms; 0 if unknown
     :ivar failures: consecutive failed runs
     :ivar forecast: expected ends of its runs; None after they have changed
+    :ivar exclusive: nothing may be placed beside its runs
     """
 
     def __init__(self, entry: WorkerEntry, now: float) -> None:
@@ -65,8 +66,14 @@
         self.failures = 0
         self.failed_at = now
         self.forecast: Forecast | None = None
+        self.exclusive = False
         self._clock_offset = 0.0
 
+    @property
+    def placement(self) -> Placement:
+        """Where a run on it is placed."""
+        return Placement(self.entry.worker, self.started_ms)
+
     def usable(self, now: float) -> bool:
         """Return whether the worker may get new runs."""
         return (
@@ -92,12 +99,14 @@
         """Add a run and allocate its resources."""
         self.runs[run.task, run.number] = run
         self.free = self.free.minus(run.demand)
+        self.exclusive = self.exclusive or run.exclusive
         self.forecast = None
 
     def remove_run(self, run: Run) -> None:
         """Remove a run that has certainly ended and free its resources."""
         if self.runs.pop((run.task, run.number), None) is not None:
             self.free = self.free.plus(run.demand)
+            self.exclusive = any(each.exclusive for each in self.runs.values())
             self.forecast = None
 
     def set_clock(self, clock_s: float, now: float) -> None:
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -336,6 +336,13 @@
     "WARNING",
     "A worker's incarnation has ended; its runs are released.",
 )
+WORKER_CRASHED = Event(
+    3210,
+    "worker_crashed",
+    "WARNING",
+    "A worker ended without notice, or its lease expired; it counts for its tasks.",
+    "Compare the named tasks with those of other crashes.",
+)
 WORKER_LAPSED = Event(
     3205,
     "worker_lapsed",
@@ -388,6 +395,13 @@
 UNIT_STARTED = Event(
     4211, "unit_started", "INFO", "A gang or a single task was placed on workers."
 )
+TASK_GIVEN_UP = Event(
+    4220,
+    "task_given_up",
+    "WARNING",
+    "A task crashes the workers that start it; its job has failed.",
+    "Tell the caller; correct the task.",
+)
 RUN_ENDED = Event(4212, "run_ended", "INFO", "A worker reported the end of a run.")
 RUN_ADOPTED = Event(
     4213,
