Place nothing on a worker whose capacity has shrunk below its use

A task that needs none of a resource was placed on a worker that was over its capacity in that one (LIMIT): CPU-only tasks after the accelerators had shrunk, tasks that use idle CPU time after the cores had.

--- a/libs/planner/src/bilberryhitch_planner/placement.py
+++ b/libs/planner/src/bilberryhitch_planner/placement.py
@@ -46,6 +46,9 @@
     """
     # This is the innermost loop: plain comparisons are twice as fast as min().
     demand = step.demand
+    if free.cpu < 0 or free.memory < 0 or free.gpu < 0:
+        # The worker's capacity has shrunk below what runs there.
+        return 0
     most = (
         step.max_tasks_per_worker - placed
         if step.max_tasks_per_worker
@@ -73,15 +76,12 @@
     # Every waiting unit is compared with every worker in each round, hence no calls.
     demand = step.demand
     cpu = 0 if step.uses_idle_cpu else demand.cpu
-    least_cpu = cpu or float("-inf")
-    least_memory = demand.memory or float("-inf")
-    least_gpu = demand.gpu or float("-inf")
     return [
         worker
         for worker in workers
-        if worker.free.gpu >= least_gpu
-        and worker.free.cpu >= least_cpu
-        and worker.free.memory >= least_memory
+        if worker.free.gpu >= demand.gpu
+        and worker.free.cpu >= cpu
+        and worker.free.memory >= demand.memory
     ]
 
 
