Start nothing on registrations that may be out of date

LIMIT: a worker's capacity shrinks and its registration says so, but the planner reads the table of workers through one feed and renews its lease through other calls. While only that table was silent, or in the first ten seconds of an outage, it went on to start runs on the capacity that it had last read. A shrunk capacity counts 3 s and one heartbeat later.

Change: no run is started once the feed has not answered for 2.5 s.

--- a/libs/jobs/src/bilberryhitch_jobs/table_watcher.py
+++ b/libs/jobs/src/bilberryhitch_jobs/table_watcher.py
@@ -1,9 +1,9 @@
 """Watches a table: a snapshot of its rows first, then every change in order."""
 
 import asyncio
-import time
 from collections.abc import Callable, Sequence
 
+from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
 
 from .errors import STORE_ERRORS, HistoryLost
@@ -22,7 +22,7 @@
         time the store no longer retains the changes to continue from
     :param on_change: called with each changed or removed row
     :param partitions: partitions of the table that hold rows
-    :ivar last_response_at: time of the store's last response on the monotonic clock
+    :ivar last_response_at: steady time of the store's last response
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         self._revision = max(self._revision, changes.revision)
 
     def _note_response(self) -> None:
-        self.last_response_at = time.monotonic()
+        self.last_response_at = clock.steady_s()
         if self._unreachable:
             self._unreachable = False
             log(events.DEPENDENCY_REGAINED, dependency=f"store table {self._table}")
--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -50,6 +50,9 @@
 from .worker_session import MIN_LEASE_S, WorkerSession
 from .workers import CLOCK_DRIFT, LEASE_SLACK_S, Worker
 
+# No run is started on registrations that are older: the capacity of a worker may have
+# shrunk since, and counts 3 s and one heartbeat after that.
+REGISTRATIONS_MAX_AGE_S = 2.5
 # Longest time between two scheduling rounds; bounds the delay of time-driven orders.
 PLAN_PERIOD_S = 0.1
 # Changes that arrive within this time share one scheduling round.
@@ -198,7 +201,7 @@
             now, unix_s = clock.steady_s(), clock.unix.now_s()
             self._adopt_configuration()
             self.planner.tick(now=now, unix_s=unix_s)
-            may_start = self.state_writer.worker_lease_limit - now > MIN_LEASE_S
+            may_start = self._may_start(now)
             for order in self.planner.plan(now=now, unix_s=unix_s, may_start=may_start):
                 session = self._sessions.get(order.worker)
                 if session is not None:
@@ -209,6 +212,12 @@
             self.state_writer.notify()
             self._check_isolation(now)
 
+    def _may_start(self, now: float) -> bool:
+        """Return whether a run that is started now gets a lease and fits its worker."""
+        lease_s = self.state_writer.worker_lease_limit - now
+        registrations_age_s = now - self._worker_rows.last_response_at
+        return lease_s > MIN_LEASE_S and registrations_age_s < REGISTRATIONS_MAX_AGE_S
+
     async def _request_advice(self, request: AdviceRequest) -> None:
         advice = await self._advise(request)
         self.planner.apply_advice(request, advice, now=clock.steady_s())
