Take only entries whose address names a target

Ports 0, 65536, 99999 and one of 5,000 digits were taken, and addresses such as x/y?:80, @h:80 or a b:80, which within a URL name another target or none; so were identifiers that no header can carry, whose session failed on each call.

Change: an address is a host name, an IPv4 or a bracketed IPv6 address and a port from 1 to 65535.

--- /dev/null
+++ b/tests/adapter/test_odd_rows.py
@@ -0,0 +1,225 @@
+"""Rows of another writer in each table, on each path on which it is read.
+
+Guards against a planner that ends, starts nothing or forgets what it knew because of
+one row that is no document, is nested too deeply or holds a number too large.
+"""
+
+import asyncio
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from bilberryhitch_adapter.decoding import decode_worker, encode_wave
+from bilberryhitch_jobs import RowWrite, encode_request
+from bilberryhitch_model import clock
+from bilberryhitch_planner import (
+    HeartbeatReply,
+    LeaderElection,
+    LeadingPlanner,
+    Machine,
+    RunningTask,
+    StartOutcome,
+    UpkeepOutcome,
+    WorkerUnreachable,
+)
+from bilberryhitch_testing import run_virtual
+from bilberryhitch_testing.memory_store import MemoryStore
+from bilberryhitch_testing.planner_harness import configuration, request, step
+
+ODD_VALUES = {
+    "empty": b"",
+    "no text": b"\xff\xfe",
+    "nested json": b"[" * 100_000,
+    "nested object": b'{"address":' * 100_000,
+    "nested msgpack": b"\x91" * 100_000,
+    "infinite": b'{"holder":"a","token":1e999,"renewal":0}',
+    "large number": b"1" + b"0" * 400,
+    "long number": b"9" * 5_000,
+    "negative": b"-1",
+    "wrong type": b'{"workers":7}',
+    "list": b"[[],{}]",
+}
+TABLES = (
+    "jobs",
+    "progress",
+    "planner",
+    "commits",
+    "roster",
+    "summary",
+    "clocks",
+    "upkeep",
+    "servers",
+)
+# Before, as and after the keys that are in use.
+ODD_KEYS = ("!", "waiting.odd", "workers.odd", "²", "9" * 199, "~")
+REGISTRATION = {
+    "backend": "pool",
+    "address": "10.0.0.9:8080",
+    "zone": "dc",
+    "state": "ready",
+    "capacity": {"cpu": 32_000, "mem-mb": 64_000, "gpu": 8},
+    "labels": ["a", "r1"],
+}
+
+
+@pytest.fixture(autouse=True)
+def loop_clock(monkeypatch):
+    monkeypatch.setattr(clock, "steady_s", lambda: asyncio.get_running_loop().time())
+
+
+class Workers:
+    """Calls to a sound worker ``w1``; at other addresses nobody answers."""
+
+    def __init__(self):
+        self.started = {}
+        self.contacted = set()
+
+    async def hold(self, worker, *, token, acknowledged, lease_until_s, wait_s):
+        self.contacted.add((worker.worker, worker.address))
+        await asyncio.sleep(max(wait_s, 0.01))
+        if worker.worker != "w1":
+            raise WorkerUnreachable(worker.worker, "not_connected")
+        listed = tuple(RunningTask(task, run) for task, run in self.started.values())
+        return HeartbeatReply(clock.steady_s(), 1, listed, ())
+
+    async def start_run(self, worker, order, *, token, lease_until_s):
+        if worker.worker != "w1":
+            return StartOutcome.REFUSED
+        self.started[order.task.job] = order.task, order.run
+        return StartOutcome.STARTED
+
+
+def planner(store, lease, workers):
+    async def list_machines():
+        return (Machine("m1", "w1", True),)
+
+    async def begin_upkeep(machine, wave, *, token):
+        return UpkeepOutcome.UNKNOWN
+
+    return LeadingPlanner(
+        store,
+        lease,
+        workers,
+        worker_table="servers",
+        decode_worker=decode_worker,
+        configuration=configuration,
+        advise=None,
+        machines=SimpleNamespace(
+            list_machines=list_machines, begin_upkeep=begin_upkeep
+        ),
+        waves=lambda: (),
+        encode_wave=encode_wave,
+        retention_s=60.0,
+        store_time_s=lambda: 1_000.0,
+    )
+
+
+class Site:
+    """A store with a sound worker and the planners that take over one another."""
+
+    def __init__(self):
+        self.store = MemoryStore()
+        self.workers = Workers()
+        self._task = None
+        self._terms = 0
+
+    async def put(self, table, key, value):
+        await self.store.commit((), (RowWrite(table, key, value),), timeout_s=1.0)
+
+    async def register(self, key="w1", **changes):
+        await self.put("servers", key, msgspec.json.encode(REGISTRATION | changes))
+
+    async def take_over(self):
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._terms += 1
+        election = LeaderElection(self.store, f"{self._terms}/1")
+        lease = await election.acquire()
+        self._task = asyncio.create_task(planner(self.store, lease, self.workers).run())
+
+    async def assert_serves(self, job):
+        await self.put("jobs", job, encode_request(request(job, step())))
+        for _ in range(100):
+            if job in self.workers.started:
+                return
+            assert not self._task.done(), self._task.exception()
+            await asyncio.sleep(0.1)
+        pytest.fail(f"{job} was not started")
+
+    async def close(self):
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+def run_site(scenario):
+    async def run():
+        site = Site()
+        await site.register()
+        await scenario(site)
+        await site.close()
+
+    run_virtual(run())
+
+
+ODD_ADDRESSES = [
+    "10.0.0.9:0",
+    "10.0.0.9:65536",
+    "10.0.0.9:99999",
+    "10.0.0.9:" + "9" * 5_000,
+    "10.0.0.9:8080/x",
+    "x/y?:80",
+    "@h:80",
+    "u@h:80",
+    "a b:80",
+    "a#b:80",
+    "a%20b:80",
+    "http://h:80",
+    "h\r\nX: y:80",
+    "::1:80",
+    "[::1:80",
+    "[fe80::1%eth0]:80",
+    "999.0.0.1:80",
+    "1.2.3:80",
+    "h..x:80",
+    "-h:80",
+    ":80",
+    "h:",
+    "h",
+    "h:８0",
+    "",
+]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_an_address_that_names_no_target_names_no_worker(address):
+    """Guards against calls to another target than the one that an entry names."""
+
+    async def scenario(site):
+        await site.register("odd-snapshot", address=address)
+        await site.take_over()
+        await site.assert_serves("a" * 16)
+        await site.register("odd-watch", address=address)
+        await site.assert_serves("b" * 16)
+        await site.take_over()
+        await site.assert_serves("c" * 16)
+        assert {worker for worker, _ in site.workers.contacted} == {"w1"}
+
+    run_site(scenario)
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.9:1", "10.0.0.9:65535", "[::1]:80", "h-1.x:80"]
+)
+def test_an_address_that_names_a_target_is_taken(address):
+    row = SimpleNamespace(
+        key="w", value=msgspec.json.encode(REGISTRATION | {"address": address})
+    )
+    assert decode_worker(row).address == address
+
+
+@pytest.mark.parametrize("key", ["a b", "a\r\nb", "", "é", "\x00"])
+def test_an_entry_whose_identifier_no_call_can_carry_names_no_worker(key):
+    """Guards against a session that fails for ever on the header of its calls."""
+    row = SimpleNamespace(key=key, value=msgspec.json.encode(REGISTRATION))
+    assert decode_worker(row) is None
