Use no worker whose entry has become unreadable

An odd entry names no worker to use. A planner that read it first did not use the worker; one that had read an earlier entry went on to start runs on it.

--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -366,7 +366,10 @@
             return
         entry = self._decode_worker(row)
         if entry is None:
+            # It names no worker to use until its next change.
             log(events.ROW_UNREADABLE, key=row.key, error="invalid worker registration")
+            self.planner.mark_unregistered(row.key, now=now)
+            self._changed()
             return
         known = self.planner.workers.get(entry.worker)
         if known is None or known.entry != entry:
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -223,3 +223,24 @@
     """Guards against a session that fails for ever on the header of its calls."""
     row = SimpleNamespace(key=key, value=msgspec.json.encode(REGISTRATION))
     assert decode_worker(row) is None
+
+
+@pytest.mark.parametrize("value", [*ODD_VALUES.values(), b'{"state":"lost"}'])
+def test_a_worker_whose_entry_becomes_odd_gets_no_new_work_until_it_is_sound(value):
+    """Guards against paths that disagree: an odd entry names no worker to use, whether
+    it was read at the start or as a change.
+    """
+
+    async def scenario(site):
+        await site.take_over()
+        await site.assert_serves("a" * 16)
+        await site.put("servers", "w1", value)
+        await asyncio.sleep(1.0)
+        await site.put("jobs", "b" * 16, encode_request(request("b" * 16, step())))
+        await asyncio.sleep(1.0)
+        assert "b" * 16 not in site.workers.started
+        await site.register()
+        await site.assert_serves("c" * 16)
+        assert "b" * 16 in site.workers.started
+
+    run_site(scenario)
