Answer callers beside rows that cannot be read

A call that met an unreadable row of its job, or an unreadable count of waiting jobs, ended in an unexpected error; a row beside the expected one was taken for it.

--- a/libs/jobs/src/bilberryhitch_jobs/__init__.py
+++ b/libs/jobs/src/bilberryhitch_jobs/__init__.py
@@ -31,6 +31,7 @@
     TaskName,
 )
 from .relaying_store import RelayingStore
+from .row_values import read_json_row
 from .rows import ExpectedRevision, RowRemoval, RowSnapshot, RowWrite, Store, StoreRow
 from .store_health import StoreHealth, probe_while_silent
 from .table_watcher import TableWatcher, apply_row
@@ -39,6 +40,7 @@
     "RelayingStore",
     "StoreHealth",
     "probe_while_silent",
+    "read_json_row",
     "apply_row",
     "FINISHED_STATES",
     "GANG_INDEX",
--- a/libs/jobs/src/bilberryhitch_jobs/job_operations.py
+++ b/libs/jobs/src/bilberryhitch_jobs/job_operations.py
@@ -11,11 +11,10 @@
 from contextlib import suppress
 from enum import Enum, auto
 
-import msgspec
 from bilberryhitch_model.errors import BadInput
 from bilberryhitch_telemetry import events, log
 
-from .errors import CommitConflict, StoreRefused, StoreUnknown
+from .errors import CommitConflict, RowUnreadable, StoreRefused, StoreUnknown
 from .progress import (
     JobProgress,
     decode_progress,
@@ -23,6 +22,7 @@
     encode_request,
 )
 from .records import FINISHED_STATES, JobRequest, JobState
+from .row_values import decode_json_row
 from .rows import ExpectedRevision, RowWrite, Store
 
 JOBS_TABLE = "jobs"
@@ -179,10 +179,9 @@
                 WAITING_KEY + PREFIX_END,
                 timeout_s=timeout_s,
             )
-            if snapshot.rows:
-                counts = msgspec.json.decode(
-                    snapshot.rows[0].value, type=dict[str, int]
-                )
+            for row in snapshot.rows:
+                if row.key == WAITING_KEY:
+                    counts = decode_json_row(row, dict[str, int])
             return OperationResult.DONE
 
         result = await self._retry(attempt, deadline, READ_TIMEOUT_S, queue)
@@ -217,9 +216,8 @@
         snapshot = await self._store.read(
             PROGRESS_TABLE, job, job + PREFIX_END, timeout_s=timeout_s
         )
-        if not snapshot.rows:
-            return None
-        return decode_progress(job, snapshot.rows[0].value)
+        values = [row.value for row in snapshot.rows if row.key == job]
+        return decode_progress(job, values[0]) if values else None
 
     async def _retry(
         self,
@@ -249,6 +247,9 @@
             except StoreUnknown as error:
                 _log_store_error(request_id, error)
                 result = OperationResult.UNKNOWN
+            except RowUnreadable as error:
+                log(events.ROW_UNREADABLE, key=error.key, error=error)
+                return OperationResult.REFUSED
             await asyncio.sleep(CALL_RETRY_DELAY_S)
         return result
 
--- a/libs/jobs/src/bilberryhitch_jobs/progress.py
+++ b/libs/jobs/src/bilberryhitch_jobs/progress.py
@@ -9,6 +9,7 @@
 from .configuration import Queue
 from .errors import RowUnreadable
 from .records import JobRequest, JobState, Schedule, Step
+from .row_values import UNREADABLE_ERRORS
 
 # Index of the unit that stands for a whole gang.
 GANG_INDEX = -1
@@ -98,8 +99,6 @@
     steps: list[Step]
 
 
-# Raised for the value of another writer: wrong format, invalid UTF-8, deep nesting.
-UNREADABLE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _encode = msgspec.msgpack.Encoder().encode
 _progress_decoder = msgspec.msgpack.Decoder(_ProgressRow)
 _request_decoder = msgspec.msgpack.Decoder(_RequestRow)
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -10,7 +10,8 @@
 import msgspec
 import pytest
 from bilberryhitch_adapter.decoding import decode_worker, encode_wave
-from bilberryhitch_jobs import RowWrite, encode_request
+from bilberryhitch_jobs import JobOperations, RowWrite, encode_request
+from bilberryhitch_jobs.job_operations import OperationResult
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
     HeartbeatReply,
@@ -244,3 +245,26 @@
         assert "b" * 16 in site.workers.started
 
     run_site(scenario)
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_callers_are_answered_beside_odd_rows(value):
+    """Guards against a call that fails because of a row of another job or queue."""
+
+    async def scenario(site):
+        loop = asyncio.get_running_loop()
+        operations = JobOperations(site.store, now=loop.time)
+        for table, key in (
+            ("summary", "waiting"),
+            ("progress", "a" * 16),
+            ("jobs", "b" * 16),
+        ):
+            await site.put(table, key, value)
+        counted = await operations.count_waiting("q", loop.time() + 1.0)
+        assert counted is None or counted == 0
+        for job in ("a" * 16, "b" * 16):
+            result, _ = await operations.get_state(job, "a", loop.time() + 1.0)
+            assert result in (OperationResult.REFUSED, OperationResult.ABSENT)
+        await site.take_over()
+
+    run_site(scenario)
