Read each row of the planner's tables by itself

A clock of 400 digits made each planner end while it took over (OverflowError), so none planned while the row was there. One unreadable record of upkeep hid all others, and with them the machines that were ordered down. The roster and the lease were whatever row came first in their table. All JSON rows now go through one decoder, which knows every way in which one can be unreadable.

--- a/libs/planner/src/bilberryhitch_planner/agreed_time.py
+++ b/libs/planner/src/bilberryhitch_planner/agreed_time.py
@@ -10,7 +10,7 @@
 from statistics import median_low
 
 import msgspec
-from bilberryhitch_jobs import RowWrite, Store, StoreRow
+from bilberryhitch_jobs import RowWrite, Store, StoreRow, read_json_row
 from bilberryhitch_jobs.errors import STORE_ERRORS
 from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
@@ -19,6 +19,8 @@
 
 CLOCKS_TABLE = "clocks"
 RETRY_PAUSE_S = 0.5
+# Larger numbers are no Unix time in milliseconds.
+MAX_VIEW_MS = 2**53
 # A smaller difference is within the accuracy of the hosts' clocks.
 MIN_LOGGED_CORRECTION_S = 0.5
 
@@ -61,8 +63,8 @@
 
 
 def _decode_view(row: StoreRow) -> int | None:
-    try:
-        return msgspec.json.decode(row.value, type=int)
-    except msgspec.DecodeError as error:
-        log(events.ROW_UNREADABLE, key=row.key, error=error)
+    view = read_json_row(row, int)
+    if view is not None and abs(view) > MAX_VIEW_MS:
+        log(events.ROW_UNREADABLE, key=row.key, error="no time in milliseconds")
         return None
+    return view
--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -8,11 +8,18 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple
 
 import msgspec
-from bilberryhitch_jobs import ExpectedRevision, RowSnapshot, RowWrite, Store, StoreRow
+from bilberryhitch_jobs import (
+    ExpectedRevision,
+    RowSnapshot,
+    RowWrite,
+    Store,
+    StoreRow,
+    read_json_row,
+)
 from bilberryhitch_jobs.errors import STORE_ERRORS, CommitConflict, HistoryLost
 from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
@@ -148,7 +155,7 @@
 
     async def _read(self) -> None:
         snapshot = await self._store.read(LEASE_TABLE, timeout_s=CALL_TIMEOUT_S)
-        self._observe_row(snapshot.rows[0] if snapshot.rows else None)
+        self._observe_row(_lease_row(snapshot.rows))
         self._revision = snapshot.revision
 
     async def _try_acquire(self) -> LeaderLease | None:
@@ -258,7 +265,7 @@
                 timeout_s=CALL_TIMEOUT_S,
             )
         except CommitConflict as conflict:
-            self._observe_row(conflict.rows[0] if conflict.rows else None)
+            self._observe_row(_lease_row(conflict.rows))
             return None
         log(
             events.PLANNER_LEASE_WON,
@@ -292,6 +299,10 @@
             self._seen_addresses = (address, *others[: MAX_SEEN_ADDRESSES - 1])
 
 
+def _lease_row(rows: Sequence[StoreRow]) -> StoreRow | None:
+    return next((row for row in rows if row.key == LEASE_KEY), None)
+
+
 def _host(holder: str) -> str:
     """Return the entry host of a holder.
 
@@ -309,8 +320,4 @@
     """Decode the lease row; a missing or unreadable one counts as not held."""
     if row is None:
         return LeaseRow("", 0, 0)
-    try:
-        return msgspec.json.decode(row.value, type=LeaseRow)
-    except msgspec.DecodeError as error:
-        log(events.ROW_UNREADABLE, key=row.key, error=error)
-        return LeaseRow("", 0, 0)
+    return read_json_row(row, LeaseRow) or LeaseRow("", 0, 0)
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -17,6 +17,7 @@
     Store,
     decode_progress,
     encode_progress,
+    read_json_row,
 )
 from bilberryhitch_jobs.errors import (
     STORE_ERRORS,
@@ -76,14 +77,10 @@
 async def read_roster(store: Store) -> tuple[str, ...]:
     """Return the workers on which an earlier planner may have started runs."""
     snapshot = await store.read(ROSTER_TABLE, timeout_s=CALL_TIMEOUT_S)
-    if not snapshot.rows:
-        return ()
-    row = snapshot.rows[0]
-    try:
-        return tuple(msgspec.json.decode(row.value, type=list[str]))
-    except msgspec.DecodeError as error:
-        log(events.ROW_UNREADABLE, key=row.key, error=error)
-        return ()
+    names = [
+        read_json_row(row, list[str]) for row in snapshot.rows if row.key == ROSTER_KEY
+    ]
+    return tuple(name for each in names for name in each or ())
 
 
 async def read_progress(store: Store) -> dict[str, JobProgress]:
--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, Protocol
 
 import msgspec
-from bilberryhitch_jobs import RowWrite, Store
+from bilberryhitch_jobs import RowWrite, Store, read_json_row
 from bilberryhitch_jobs.errors import STORE_ERRORS
 from bilberryhitch_model import clock
 from bilberryhitch_telemetry import events, log
@@ -307,15 +307,17 @@
             self._on_change()
 
     async def _read_records(self) -> dict[int, list[str]]:
-        try:
-            snapshot = await self._store.read(RECORD_TABLE, timeout_s=CALL_TIMEOUT_S)
-            return {
-                int(row.key): msgspec.json.decode(row.value, type=list[str])
-                for row in snapshot.rows
-            }
-        except (msgspec.DecodeError, ValueError) as error:
-            log(events.ROW_UNREADABLE, key=RECORD_TABLE, error=error)
-            return {}
+        snapshot = await self._store.read(RECORD_TABLE, timeout_s=CALL_TIMEOUT_S)
+        records: dict[int, list[str]] = {}
+        for row in snapshot.rows:
+            machines = read_json_row(row, list[str])
+            if machines is None:
+                continue
+            try:
+                records[int(row.key)] = machines
+            except ValueError as error:
+                log(events.ROW_UNREADABLE, key=row.key, error=error)
+        return records
 
     def _update_cordon(self, machines: Mapping[str, Machine]) -> None:
         """Cordon the workers on draining machines."""
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -16,6 +16,7 @@
 from bilberryhitch_planner import (
     HeartbeatReply,
     LeaderElection,
+    LeaderLease,
     LeadingPlanner,
     Machine,
     RunningTask,
@@ -163,6 +164,43 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("table", TABLES)
+def test_an_odd_row_leaves_the_planner_working(table, value):
+    """Covers the snapshot at the start, the watch and two takeovers."""
+
+    async def scenario(site):
+        for key in ODD_KEYS[:3]:
+            await site.put(table, key, value)
+        await site.take_over()
+        await site.assert_serves("a" * 16)
+        for key in ODD_KEYS[3:]:
+            await site.put(table, key, value)
+        await site.assert_serves("b" * 16)
+        await site.take_over()
+        await site.assert_serves("c" * 16)
+
+    run_site(scenario)
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize(
+    ("table", "key"),
+    [("planner", "lease"), ("roster", "workers"), ("summary", "waiting")],
+)
+def test_an_odd_value_of_a_known_row_leaves_the_next_planner_working(table, key, value):
+    """Guards against a row that no planner can read, so that none ever plans again."""
+
+    async def scenario(site):
+        await site.take_over()
+        await site.assert_serves("a" * 16)
+        await site.put(table, key, value)
+        await site.take_over()
+        await site.assert_serves("b" * 16)
+
+    run_site(scenario)
+
+
 ODD_ADDRESSES = [
     "10.0.0.9:0",
     "10.0.0.9:65536",
@@ -268,3 +306,18 @@
         await site.take_over()
 
     run_site(scenario)
+
+
+def test_an_odd_record_of_upkeep_leaves_the_others():
+    """Guards against machines that were ordered down and are no longer counted."""
+
+    async def scenario(site):
+        await site.put("upkeep", "!", b"[" * 100_000)
+        await site.put("upkeep", "3", msgspec.json.encode(["m1"]))
+        await site.put("upkeep", "9" * 199, b"\xff")
+        await site.take_over()
+        lease = LeaderLease("b/1", 1, 0.0, 0.0)
+        controller = planner(site.store, lease, site.workers)._upkeep
+        assert await controller._read_records() == {3: ["m1"]}
+
+    run_site(scenario)
