Ignore stored jobs that no host can have accepted

A row of the table of jobs with a number of tasks too large made the planner run out of memory, one with a negative demand would have made room where there is none, and one with a step after itself raised for each round. Such a row is unreadable now.

--- a/libs/jobs/src/bilberryhitch_jobs/progress.py
+++ b/libs/jobs/src/bilberryhitch_jobs/progress.py
@@ -13,6 +13,8 @@
 
 # Index of the unit that stands for a whole gang.
 GANG_INDEX = -1
+# Far more tasks than a job is accepted with.
+MAX_STORED_TASKS = 100_000
 # A larger row is stored without the placements of its runs: the store takes 64 KB.
 MAX_BYTES_WITH_PLACEMENTS = 60_000
 
@@ -188,6 +190,23 @@
     return found
 
 
+def _check_request(key: str, row: _RequestRow) -> None:
+    """Check what the size of a tracked job and its order of steps depend on.
+
+    :raises RowUnreadable: if no host can have accepted such a job
+    """
+    tasks = 0
+    for index, step in enumerate(row.steps):
+        if step.task_count < 1 or min(step.demand) < 0:
+            raise RowUnreadable(key, f"step {index} has no task or needs less than 0")
+        if not all(0 <= earlier < index for earlier in step.depends_on):
+            raise RowUnreadable(key, f"step {index} depends on no earlier step")
+        tasks += step.task_count
+    occurrences = 1 if row.schedule is None else row.schedule.repeat_count
+    if not 0 < tasks * occurrences <= MAX_STORED_TASKS:
+        raise RowUnreadable(key, f"has {tasks * occurrences} tasks")
+
+
 def encode_request(request: JobRequest) -> bytes:
     """Return the value of a job's row; the job is accepted once the row is stored."""
     return _encode(
@@ -213,6 +232,7 @@
         row = _request_decoder.decode(value)
     except UNREADABLE_ERRORS as error:
         raise RowUnreadable(key, str(error)) from error
+    _check_request(key, row)
     return JobRequest(
         row.job,
         row.queue,
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 from bilberryhitch_adapter.decoding import decode_worker, encode_wave
-from bilberryhitch_jobs import JobOperations, RowWrite, encode_request
+from bilberryhitch_jobs import JobOperations, RowWrite, Schedule, encode_request
 from bilberryhitch_jobs.job_operations import OperationResult
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
@@ -308,6 +308,25 @@
     run_site(scenario)
 
 
+def test_a_job_that_no_caller_could_have_submitted_is_ignored():
+    """Guards against a planner that runs out of memory on a number too large."""
+    odd = [
+        request("f" * 16, step(10**12)),
+        request("e" * 16, step(depends_on=(0,))),
+        request("d" * 16, step(0)),
+        request("c" * 16, step(gpu=-8)),
+        request("b" * 16, step(), schedule=Schedule(10**12, 0.0, 1.0)),
+    ]
+
+    async def scenario(site):
+        for job in odd:
+            await site.put("jobs", job.job, encode_request(job))
+        await site.take_over()
+        await site.assert_serves("a" * 16)
+
+    run_site(scenario)
+
+
 def test_an_odd_record_of_upkeep_leaves_the_others():
     """Guards against machines that were ordered down and are no longer counted."""
 
