Take no reply for a list of runs that lacks one

A reply to a heartbeat that was no object, or lacked one of its lists, counted as a list without runs, and one without the time of the worker's start as a restart: all runs of the worker were released and could start elsewhere while they went on (TWICE), and a crash was counted.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -260,13 +260,14 @@
         worker = self.workers.get(name)
         if worker is None:
             return
-        if worker.started_ms not in (0, reply.started_ms):
+        started_ms = reply.started_ms or worker.started_ms
+        if worker.started_ms not in (0, started_ms):
             # The worker restarted under the same identifier: its runs are gone.
             announced = self._end_announced(worker)
             self._state.release_lost_runs(worker, now, unix_s, crashed=not announced)
             worker.last_end_sequence = 0
             worker.record_failure(now)
-        worker.started_ms = reply.started_ms
+        worker.started_ms = started_ms
         worker.set_clock(reply.clock_s, now)
         if not worker.synced:
             worker.synced = True
@@ -277,7 +278,7 @@
         for running in reply.running:
             listed.add((running.task, running.run))
             self._state.apply_running(worker, running, now)
-        self._state.settle_inherited(worker, reply.started_ms, unix_s)
+        self._state.settle_inherited(worker, started_ms, unix_s)
         self._state.orders += throttle_orders(worker, now)
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
             for key, run in list(worker.runs.items()):
--- a/libs/planner/tests/test_crashes.py
+++ b/libs/planner/tests/test_crashes.py
@@ -411,3 +411,16 @@
     assert len(value) <= MAX_BYTES_WITH_PLACEMENTS
     read = decode_progress("j", value)
     assert all(unit.last_run == 1 for unit in read.units.values())
+
+
+def test_a_reply_without_the_time_of_the_start_is_no_restart():
+    """Guards against runs that are started again elsewhere while they go on."""
+    harness = PlannerHarness(entry("w0"))
+    harness.send_heartbeat("w0", born_ms=1)
+    harness.add(request("j", step()))
+    (order,) = harness.start_all()
+    harness.now = 0.5
+    harness.send_heartbeat("w0", [running(order)], born_ms=0)
+    (unit,) = harness.planner.jobs["j"].units
+    assert unit.runs
+    assert not unit.crashes
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -22,12 +22,21 @@
 from bilberryhitch_adapter.http_server import _timeout_s
 from bilberryhitch_adapter.machines import MachineClient, decode_machines
 from bilberryhitch_adapter.store import StoreClient
+from bilberryhitch_adapter.workers import WorkerClient
 from bilberryhitch_adapter_standins import Listener
-from bilberryhitch_jobs import StoreRow
+from bilberryhitch_jobs import Resources, StoreRow, TaskName
 from bilberryhitch_jobs.errors import STORE_ERRORS, RowUnreadable
 from bilberryhitch_jobs.progress import decode_progress, decode_request
 from bilberryhitch_model.errors import BadInput
-from bilberryhitch_planner import MachinesUnknown
+from bilberryhitch_planner import (
+    MachinesUnknown,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    StopOutcome,
+    WorkerEntry,
+    WorkerUnreachable,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -244,3 +253,65 @@
 
     with pytest.raises(MachinesUnknown):
         call_with_answer(client_of, lambda client: client.list_machines(), encode(page))
+
+
+ODD_REPLIES = [
+    b"",
+    b"\xff\xfe",
+    b"[" * 100_000,
+    b'{"born":' * 100_000,
+    b'{"clock-ms":1e999}',
+    b'{"clock-ms":1' + b"0" * 400 + b',"born":1}',
+    b'{"clock-ms":1,"born":' + b"9" * 5_000 + b"}",
+    b'{"clock-ms":1,"born":1,"running":{}}',
+    b'{"clock-ms":1,"born":1,"finished":[[1]]}',
+    b'{"clock-ms":1,"born":1,"finished":[[1,"a.0.0.' + b"9" * 5_000 + b'",1,"done"]]}',
+    b'{"clock-ms":1,"born":1,"running":[]}',
+    b'{"clock-ms":1,"born":1,"running":null,"finished":[]}',
+    b'{"born":1,"running":[],"finished":[]}',
+    b"[]",
+    b"{}",
+    b"7",
+]
+ENTRY = WorkerEntry("w", "pool", "", "dc", Resources(), frozenset(), "")
+ORDER = StartOrder("w", TaskName("a" * 16, 0, 0, 0), 1, "s", "")
+
+
+def worker_client(address):
+    """Return a client whose calls go to ``address``, whatever the entry says."""
+    client = WorkerClient()
+    post = client._post
+
+    async def post_to_address(worker, *rest):
+        return await post(worker._replace(address=address()), *rest)
+
+    client._post = post_to_address
+    return client
+
+
+@pytest.mark.parametrize("body", ODD_REPLIES)
+def test_an_odd_list_of_runs_says_nothing_about_the_worker(body):
+    """Guards against a session that ends, or runs that count as gone, by one reply."""
+
+    async def hold(client):
+        options = {"token": 1, "acknowledged": 0, "lease_until_s": None, "wait_s": 0.0}
+        return await client.hold(ENTRY, **options)
+
+    with pytest.raises(WorkerUnreachable):
+        call_with_answer(worker_client, hold, body)
+
+
+@pytest.mark.parametrize("body", ODD_REPLIES)
+def test_an_odd_reply_to_an_order_has_an_outcome(body):
+    """Guards against an order that ends in an unexpected error by its reply."""
+
+    async def start(client):
+        return await client.start_run(ENTRY, ORDER, token=1, lease_until_s=1.0)
+
+    async def stop(client):
+        return await client.stop_run(
+            ENTRY, StopOrder("w", ORDER.task, ORDER.run), token=1
+        )
+
+    assert call_with_answer(worker_client, start, body) in StartOutcome
+    assert call_with_answer(worker_client, stop, body) in StopOutcome
