--- a/libs/platform/src/bilberryhitch_platform/http_client.py
+++ b/libs/platform/src/bilberryhitch_platform/http_client.py
@@ -57,7 +57,8 @@
 
     :param base_url: for example ``http://10.0.0.1:7400``
     :param token: bearer token, or empty for none
-    :param timeout_s: timeout of each attempt; connecting may take half of it
+    :param timeout_s: timeout of each write, and of each pause in the response to a
+        read, which may be large; connecting may take half of it
     :param rng: source of the jitter between retries of reads
     :param retry_budget: budget for retries of reads; by default one with ``rng``
     """
@@ -81,9 +82,6 @@
         """Open the connection pool; connections are established on demand."""
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
-            timeout=aiohttp.ClientTimeout(
-                total=self._timeout_s, connect=self._timeout_s / 2
-            ),
             headers=self._headers,
         )
 
@@ -220,7 +218,14 @@
         url = URL(self._base_url + path, encoded=True).with_query(dict(query))
         # aiohttp warns about ``bytes`` above 1 MiB; it sends a buffer in chunks.
         data = None if body is None else io.BytesIO(body)
-        async with self._session.request(method, url, data=data) as http_response:
+        timeout = aiohttp.ClientTimeout(
+            total=None if body is None else self._timeout_s,
+            connect=self._timeout_s / 2,
+            sock_read=self._timeout_s,
+        )
+        async with self._session.request(
+            method, url, data=data, timeout=timeout
+        ) as http_response:
             response_body = await http_response.read()
             no_effect = http_response.headers.get(EFFECT_HEADER) == NO_EFFECT
             return _HttpResponse(http_response.status, response_body, no_effect)
