Place suspects of a takeover on idle workers first

A successor counts the waiting time from the job's arrival, so the limit after which a suspect may run beside others had passed at once, and then the fullest worker was chosen although idle ones were there.

Change: idle workers come first in any case, and the wait for one counts from the first round that finds none. Both new tests failed before.

--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -165,20 +165,9 @@
 
     def _allowed_workers(self, unit: Unit, workers: Sequence[Worker]) -> list[Worker]:
         """Return the workers that have room for a task and are not kept for others."""
-        allowed = self._unreserved_workers(
+        return self._unreserved_workers(
             unit, workers_with_room(workers, unit.step.step)
         )
-        if not unit.isolated or self._may_share_workers(unit, workers):
-            return allowed
-        return [worker for worker in allowed if not worker.runs]
-
-    def _may_share_workers(self, unit: Unit, workers: Sequence[Worker]) -> bool:
-        """Return whether a unit that should run alone may run beside others.
-
-        In a pool that is mostly idle, work that never ends may keep every worker busy.
-        """
-        waited_s = self._now - unit.waiting_since
-        return waited_s > ISOLATION_WAIT_S and _mostly_idle(workers)
 
     def _unreserved_workers(
         self, unit: Unit, workers: Sequence[Worker]
@@ -209,16 +198,39 @@
         careful = unit.attempts_left <= 1 and bool(unit.failed_runs)
         if unit.isolated and not careful:
             careful = any(not each.suspect(self._now) for each in pool.workers)
-        return careful and self._now - unit.waiting_since < SUSPECT_WAIT_S
+        since = unit.waiting_since if unit.alone_since is None else unit.alone_since
+        return careful and self._now - since < SUSPECT_WAIT_S
 
     def _place(
         self, unit: Unit, pool: WorkerPool, any_rack: bool
     ) -> dict[int, Worker] | None:
-        """Choose workers; use those with a recent failure only as a last resort.
+        """Choose workers, idle ones for a unit that may crash them.
+
+        In a pool that is mostly idle, work that never ends may keep every worker busy.
+        Such a unit runs beside it then, after a while.
 
         :returns: the worker of each task, by task index; None if the unit must wait
         """
         allowed = self._allowed_workers(unit, pool.workers)
+        if not unit.isolated:
+            return self._place_among(unit, allowed, pool, any_rack)
+        if unit.alone_since is None:
+            unit.alone_since = self._now
+        idle = [worker for worker in allowed if not worker.runs]
+        members = self._place_among(unit, idle, pool, any_rack)
+        waited_s = self._now - unit.alone_since
+        if (
+            members is None
+            and waited_s > ISOLATION_WAIT_S
+            and _mostly_idle(pool.workers)
+        ):
+            return self._place_among(unit, allowed, pool, any_rack)
+        return members
+
+    def _place_among(
+        self, unit: Unit, allowed: Sequence[Worker], pool: WorkerPool, any_rack: bool
+    ) -> dict[int, Worker] | None:
+        """Choose among workers; use those with a recent failure as a last resort."""
         healthy = [worker for worker in allowed if not worker.suspect(self._now)]
         members = self._choose(unit, healthy, pool, any_rack, with_suspects=False)
         if members is not None or len(healthy) == len(allowed):
@@ -270,6 +282,7 @@
         step, job, now = unit.step, unit.step.job, self._now
         unit.last_run += 1
         unit.placements.clear()
+        unit.alone_since = None
         step.waiting.pop(unit.index, None)
         self._state.preemptions.release(unit)
         demand = step.step.reserved_resources
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -47,6 +47,7 @@
         can be cleared for it
     :ivar adopted: all tasks of its latest run are known, although an earlier planner
         started it
+    :ivar alone_since: monotonic time since which it waits for workers that run nothing
     :ivar retry_at: monotonic time before which it is not started again
     :ivar waiting_since: monotonic time since which it has been ready to run
     """
@@ -54,6 +55,7 @@
     __slots__ = (
         "across_racks",
         "adopted",
+        "alone_since",
         "crashes",
         "done",
         "failed_runs",
@@ -82,6 +84,7 @@
         self.across_racks = False
         self.adopted = False
         self.retry_at = 0.0
+        self.alone_since: float | None = None
         self.waiting_since = step.job.arrived_at
 
     @property
--- a/libs/planner/tests/test_crashes.py
+++ b/libs/planner/tests/test_crashes.py
@@ -424,3 +424,45 @@
     (unit,) = harness.planner.jobs["j"].units
     assert unit.runs
     assert not unit.crashes
+
+
+def test_a_successor_starts_a_suspect_on_an_idle_worker():
+    """Guards against a suspect that is placed beside others right after a takeover, as
+    it has waited since long before.
+    """
+    harness = PlannerHarness(*(entry(f"w{n}") for n in range(4)))
+    for name in ("w0", "w1", "w2", "w3"):
+        harness.send_heartbeat(name)
+    harness.now = 10.0
+    harness.send_all_heartbeats()
+    harness.add(request("other", step()))
+    (busy,) = harness.start_all()
+    crashed = UnitProgress(False, 2, crashes={0: CrashCount(2, 2, 1)})
+    stored = JobProgress(JobState.RUNNING, "a", {(0, 0, 0): crashed})
+    harness.add(request("suspect", step()), stored, revision=0)
+    (unit,) = harness.planner.jobs["suspect"].units
+    unit.waiting_since = 0.0
+    (order,) = harness.plan_starts()
+    assert order.worker != busy.worker
+
+
+def test_a_successor_does_not_place_a_suspect_beside_others_at_once():
+    """Guards against a suspect that counts the time before a takeover as time for which
+    no worker has become idle.
+    """
+    harness = PlannerHarness(entry("w0"), entry("w1"))
+    for name in ("w0", "w1"):
+        harness.send_heartbeat(name)
+    harness.now = 10.0
+    harness.send_all_heartbeats()
+    harness.add(request("others", step(2, max_tasks_per_worker=1)))
+    assert len(harness.start_all()) == 2
+    crashed = UnitProgress(False, 2, crashes={0: CrashCount(2, 2, 1)})
+    stored = JobProgress(JobState.RUNNING, "a", {(0, 0, 0): crashed})
+    harness.add(request("suspect", step()), stored, revision=0)
+    (unit,) = harness.planner.jobs["suspect"].units
+    unit.waiting_since = 0.0
+    assert harness.plan_starts() == []
+    harness.now = 13.0
+    harness.send_all_heartbeats()
+    assert len(harness.plan_starts()) == 1
