Let guarantees be reclaimed from a suspect that runs alone

A worker on which a suspect runs alone has room that nothing else may use. Such a worker is now planned for as a whole: all of its runs are stopped or none. The new test failed before.

--- a/libs/planner/src/bilberryhitch_planner/preemption.py
+++ b/libs/planner/src/bilberryhitch_planner/preemption.py
@@ -178,6 +178,8 @@
         (run for run in worker.runs.values() if _may_preempt(run, preemptible)),
         key=lambda run: lost_core_seconds(run.unit, now) if run.unit else 0.0,
     )
+    if worker.exclusive:
+        return _plan_exclusive_worker(step, worker, victims, now)
     best = slots(free, step)
     taken: list[Unit] = []
     for run in victims:
@@ -197,6 +199,22 @@
     )
 
 
+def _plan_exclusive_worker(
+    step: Step, worker: Worker, victims: Sequence[Run], now: float
+) -> _WorkerPlan | None:
+    """Plan for a worker that has room for others only without its present runs."""
+    units = tuple({id(run.unit): run.unit for run in victims if run.unit}.values())
+    kept = any(
+        run.state is not RunState.STOPPING and run not in victims
+        for run in worker.runs.values()
+    )
+    most = total_slots(worker, step)
+    if kept or most == 0:
+        return None
+    cost = sum(lost_core_seconds(unit, now) for unit in units)
+    return _WorkerPlan(worker.entry.worker, most, units, cost)
+
+
 def _may_preempt(run: Run, preemptible: Callable[[Unit], bool]) -> bool:
     return (
         run.state is not RunState.STOPPING
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -334,9 +334,7 @@
         ):
             return False
         candidates = [
-            each
-            for each in workers
-            if not each.exclusive and self._state.preemptions.allows(each, unit)
+            each for each in workers if self._state.preemptions.allows(each, unit)
         ]
         preemption = self._plan_reclaim(unit, candidates)
         if preemption is None:
--- a/libs/planner/tests/test_crashes.py
+++ b/libs/planner/tests/test_crashes.py
@@ -466,3 +466,27 @@
     harness.now = 13.0
     harness.send_all_heartbeats()
     assert len(harness.plan_starts()) == 1
+
+
+def test_a_guarantee_is_reclaimed_from_a_suspect_that_runs_alone():
+    """Guards against a guarantee that a patient suspect blocks, as nothing may run
+    beside it.
+    """
+    harness = PlannerHarness(entry("w0"), guaranteed=8)
+    harness.send_heartbeat("w0")
+    crashed = UnitProgress(False, 2, crashes={0: CrashCount(1, 1, 0)})
+    stored = JobProgress(JobState.RUNNING, "b", {(0, 0, 0): crashed})
+    patient = request("suspect", step(), route=queue("batch", 2), account="b")
+    harness.add(patient, stored)
+    (order,) = harness.start_all()
+    harness.now = 1.0
+    harness.send_all_heartbeats()
+    harness.add(request("urgent", step(gpu=2)))
+    stops = []
+    for _ in range(4):
+        harness.now += 0.1
+        harness.send_all_heartbeats()
+        stops += [each for each in harness.plan() if isinstance(each, StopOrder)]
+    assert [stop.task for stop in stops] == [order.task]
+    harness.send_heartbeat("w0", ended=[ended(order, EndKind.STOPPED)])
+    assert [each.task.job for each in harness.plan_starts()][:1] == ["urgent"]
