Count a lapsed lease once the worker is seen to have crashed

A lease that expires says nothing about a crash: the worker may only have been cut off, and a job that is given up for that has failed without cause. The tasks of a registered worker whose lease has lapsed are remembered; they count when the worker answers with another time of its start, or is known to have ended, and are dropped when it answers as before. The new test failed before.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -175,21 +175,43 @@
                 crashed.append(LostTask(unit, index))
         self._count_crash(worker.entry.worker, crashed, unix_s, certain=True)
 
-    def release_lost_runs(
-        self,
-        worker: Worker,
-        now: float,
-        unix_s: float,
-        *,
-        crashed: bool,
-        certain: bool = True,
+    def release_ended_worker(
+        self, worker: Worker, now: float, unix_s: float, *, announced: bool
     ) -> None:
-        """Release all runs of a worker that can no longer run any of them.
+        """Release all runs of a worker that has certainly ended.
 
-        :param crashed: its end was not announced
-        :param certain: it has ended; otherwise it may only have been unreachable
+        :param announced: it was expected to end, so this was no crash
         """
-        lost = [
+        lapsed = bool(worker.lapsed)
+        lost = self._take_lost_tasks(worker)
+        if not announced:
+            proof = not lapsed and is_proof(worker, lost)
+            self._count_crash(
+                worker.entry.worker, lost, unix_s, certain=True, proof=proof
+            )
+        self._release_all(worker, now, unix_s)
+
+    def release_lapsed_worker(
+        self, worker: Worker, now: float, unix_s: float, *, announced: bool
+    ) -> None:
+        """Release all runs of a worker whose lease has expired.
+
+        Whether it has crashed shows when it answers again. One that is not registered
+        any more may never do that.
+
+        :param announced: it was expected to end
+        """
+        lost = self._take_lost_tasks(worker)
+        if worker.registered:
+            worker.lapsed = lost
+        elif not announced:
+            self._count_crash(worker.entry.worker, lost, unix_s, certain=False)
+        self._release_all(worker, now, unix_s)
+
+    def _take_lost_tasks(self, worker: Worker) -> list[LostTask]:
+        """Return the tasks that may have had a run on a worker that has none now."""
+        lost, worker.lapsed = worker.lapsed, []
+        lost += [
             lost_task(worker, run, run.unit)
             for run in worker.runs.values()
             if run.unit is not None
@@ -197,11 +219,9 @@
         for unit, index in self._pop_inherited(worker.entry.worker):
             del unit.placements[index]
             lost.append(LostTask(unit, index))
-        if crashed:
-            proof = certain and is_proof(worker, lost)
-            self._count_crash(
-                worker.entry.worker, lost, unix_s, certain=certain, proof=proof
-            )
+        return lost
+
+    def _release_all(self, worker: Worker, now: float, unix_s: float) -> None:
         for run in list(worker.runs.values()):
             self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
 
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -242,7 +242,7 @@
             if now - ended[0] < RESTART_MEMORY_S
         }
         self._recent_ends[worker.entry.address] = (now, worker.failures)
-        self._state.release_lost_runs(worker, now, unix_s, crashed=not announced)
+        self._state.release_ended_worker(worker, now, unix_s, announced=announced)
 
     def apply_heartbeat(
         self,
@@ -264,10 +264,11 @@
         if worker.started_ms not in (0, started_ms):
             # The worker restarted under the same identifier: its runs are gone.
             announced = self._end_announced(worker)
-            self._state.release_lost_runs(worker, now, unix_s, crashed=not announced)
+            self._state.release_ended_worker(worker, now, unix_s, announced=announced)
             worker.last_end_sequence = 0
             worker.record_failure(now)
         worker.started_ms = started_ms
+        worker.lapsed = []
         worker.set_clock(reply.clock_s, now)
         if not worker.synced:
             worker.synced = True
@@ -381,12 +382,9 @@
                 if worker.runs:
                     log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
                 worker.synced = worker.synced or not worker.registered
-                self._state.release_lost_runs(
-                    worker,
-                    now,
-                    unix_s,
-                    crashed=not self._end_announced(worker),
-                    certain=False,
+                announced = self._end_announced(worker)
+                self._state.release_lapsed_worker(
+                    worker, now, unix_s, announced=announced
                 )
                 if not worker.registered:
                     del self.workers[name]
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -8,6 +8,7 @@
 from .runs import Run
 
 if TYPE_CHECKING:
+    from .crashes import LostTask
     from .forecast import Forecast
 
 # A worker's clock may run slower than the planner's by this fraction.
@@ -46,6 +47,7 @@
     :ivar started_ms: Unix time of its start in ms; 0 if unknown
     :ivar failures: consecutive failed runs
     :ivar forecast: expected ends of its runs; None after they have changed
+    :ivar lapsed: tasks that ran on it when its lease expired, until it answers again
     :ivar exclusive: nothing may be placed beside its runs
     """
 
@@ -67,6 +69,7 @@
         self.failed_at = now
         self.forecast: Forecast | None = None
         self.exclusive = False
+        self.lapsed: list[LostTask] = []
         self._clock_offset = 0.0
 
     @property
--- a/libs/planner/tests/test_crashes.py
+++ b/libs/planner/tests/test_crashes.py
@@ -490,3 +490,22 @@
     assert [stop.task for stop in stops] == [order.task]
     harness.send_heartbeat("w0", ended=[ended(order, EndKind.STOPPED)])
     assert [each.task.job for each in harness.plan_starts()][:1] == ["urgent"]
+
+
+@pytest.mark.parametrize(("born", "total"), [(1, 0), (2, 1)])
+def test_a_lapsed_lease_counts_once_the_worker_is_seen_to_have_crashed(born, total):
+    """Guards against jobs that are given up for partitions, and against crashes that
+    are not counted as the worker could not be looked up in time.
+    """
+    harness = PlannerHarness(entry("w0"), entry("w1"))
+    harness.send_heartbeat("w0", born_ms=1)
+    harness.add(request("j", step()))
+    harness.start_all()
+    harness.now = 12.0
+    harness.plan()
+    (unit,) = harness.planner.jobs["j"].units
+    assert not unit.runs
+    assert not unit.crashes
+    harness.now = 13.0
+    harness.send_heartbeat("w0", born_ms=born)
+    assert unit.crashes.get(0, CrashCount()).total == total
