--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -4,7 +4,13 @@
 from bilberryhitch_telemetry import events, log
 
 from .advice import Permissions
-from .crashes import LostTask, count_crash, is_proof, lost_task
+from .crashes import (
+    InheritedPlacements,
+    LostTask,
+    count_crash,
+    is_proof,
+    lost_task,
+)
 from .preemption import PendingPreemptions
 from .reports import (
     EndedTask,
@@ -41,8 +47,6 @@
     :ivar ready: steps whose dependencies are done, by job, occurrence and step index
     :ivar preemptions: capacity that is being freed for urgent units
     :ivar permissions: permissions of the advice service, by the same key as ``ready``
-    :ivar inherited_placements: tasks whose latest run an earlier planner had placed on
-        a worker that has not listed its runs yet, by identifier of the worker
     """
 
     def __init__(self) -> None:
@@ -53,7 +57,7 @@
         self.ready: dict[tuple[str, int, int], StepOccurrence] = {}
         self.preemptions = PendingPreemptions()
         self.permissions: dict[tuple[str, int, int], Permissions] = {}
-        self.inherited_placements: dict[str, list[tuple[Unit, int]]] = {}
+        self._inherited = InheritedPlacements()
 
     def permissions_of(self, step: StepOccurrence) -> Permissions | None:
         """Return the permissions of a step; None if its queue needs none."""
@@ -147,33 +151,23 @@
             )
 
     def inherit_placements(self, job: TrackedJob, unix_s: float) -> None:
-        """Remember where an earlier planner had placed the runs of a job.
-
-        That planner may have removed a worker and not stored yet what ran there.
-        """
-        lost: dict[str, list[LostTask]] = {}
-        for unit in job.units:
-            for index, (worker, _) in list(unit.placements.items()):
-                if worker in self.workers:
-                    tasks = self.inherited_placements.setdefault(worker, [])
-                    tasks.append((unit, index))
-                else:
-                    del unit.placements[index]
-                    lost.setdefault(worker, []).append(LostTask(unit, index))
-        for worker, lost_tasks in lost.items():
-            self._count_crash(worker, lost_tasks, unix_s, certain=True)
+        """Remember where an earlier planner had placed the runs of a job."""
+        for worker in self._inherited.add(job, self.workers):
+            lost = [task for task, _ in self._inherited.take(worker)]
+            self._count_crash(worker, lost, unix_s, certain=True)
 
     def settle_inherited(self, worker: Worker, started_ms: int, unix_s: float) -> None:
         """Settle the inherited placements on a worker that lists its runs.
 
         :param started_ms: Unix time of the worker's start in ms
         """
-        crashed = []
-        for unit, index in self._pop_inherited(worker.entry.worker):
-            placement = unit.placements.pop(index)
-            if placement.started_ms not in (0, started_ms):
-                crashed.append(LostTask(unit, index))
-        self._count_crash(worker.entry.worker, crashed, unix_s, certain=True)
+        name = worker.entry.worker
+        lost = [
+            task
+            for task, placement in self._inherited.take(name)
+            if placement.started_ms not in (0, started_ms)
+        ]
+        self._count_crash(name, lost, unix_s, certain=True)
 
     def release_ended_worker(
         self, worker: Worker, now: float, unix_s: float, *, announced: bool
@@ -216,26 +210,13 @@
             for run in worker.runs.values()
             if run.unit is not None
         ]
-        for unit, index in self._pop_inherited(worker.entry.worker):
-            del unit.placements[index]
-            lost.append(LostTask(unit, index))
+        lost += [task for task, _ in self._inherited.take(worker.entry.worker)]
         return lost
 
     def _release_all(self, worker: Worker, now: float, unix_s: float) -> None:
         for run in list(worker.runs.values()):
             self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
 
-    def _pop_inherited(self, worker: str) -> list[tuple[Unit, int]]:
-        """Return the tasks that may have a run on a worker which it has not listed."""
-        return [
-            (unit, index)
-            for unit, index in self.inherited_placements.pop(worker, ())
-            if not unit.step.job.finished
-            and index not in unit.runs
-            and index in unit.placements
-            and unit.placements[index].worker == worker
-        ]
-
     def _count_crash(
         self,
         worker: str,
--- a/libs/planner/src/bilberryhitch_planner/crashes.py
+++ b/libs/planner/src/bilberryhitch_planner/crashes.py
@@ -6,12 +6,13 @@
 there; a neighbour runs alone as well, and to its end.
 """
 
+from collections.abc import Container
 from typing import NamedTuple
 
-from bilberryhitch_jobs import CrashCount
+from bilberryhitch_jobs import CrashCount, Placement
 
 from .runs import Run
-from .units import Unit
+from .units import TrackedJob, Unit
 from .workers import Worker
 
 # A run that had been ordered for less than this when its worker last answered may have
@@ -79,3 +80,40 @@
             count.early + early,
             count.alone + (early and proof and each.confirmed),
         )
+
+
+class InheritedPlacements:
+    """Tasks whose latest run an earlier planner had placed on a worker.
+
+    They are kept until the worker lists its runs, has ended or its lease has expired.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, list[tuple[Unit, int]]] = {}
+
+    def add(self, job: TrackedJob, workers: Container[str]) -> list[str]:
+        """Add the placements of a job.
+
+        :param workers: identifiers of the workers that this planner knows
+        :returns: identifiers of workers that are no longer known. The earlier planner
+            may have removed them before it stored what ran there.
+        """
+        gone = set()
+        for unit in job.units:
+            for index, placement in unit.placements.items():
+                tasks = self._tasks.setdefault(placement.worker, [])
+                tasks.append((unit, index))
+                if placement.worker not in workers:
+                    gone.add(placement.worker)
+        return sorted(gone)
+
+    def take(self, worker: str) -> list[tuple[LostTask, Placement]]:
+        """Remove and return the tasks on a worker of which no run is known by now."""
+        return [
+            (LostTask(unit, index), unit.placements.pop(index))
+            for unit, index in self._tasks.pop(worker, ())
+            if not unit.step.job.finished
+            and index not in unit.runs
+            and index in unit.placements
+            and unit.placements[index].worker == worker
+        ]
--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -152,21 +152,27 @@
     run_with_slow_store(scenario)
 
 
+async def watch_through_relay(client):
+    """Watch through a relay that calls the store with ``client``."""
+    address = f"127.0.0.1:{free_port()}"
+    store_relay = StoreRelay(client, address)
+    await store_relay.start()
+    relayed = StoreClient(lambda: address, fail_fast=False)
+    await relayed.start()
+    try:
+        async with asyncio.timeout(20 * LIMIT_S):
+            return await watch(relayed)
+    finally:
+        await relayed.close()
+        await store_relay.close()
+
+
 def test_a_relay_passes_a_response_on_while_it_arrives():
     """Guards against a relayed call that times out before its relay has read it all."""
 
     async def scenario(_server, client):
-        address = f"127.0.0.1:{free_port()}"
-        store_relay = StoreRelay(client, address)
-        await store_relay.start()
-        relayed = StoreClient(lambda: address, fail_fast=False)
-        await relayed.start()
-        try:
-            snapshot = await watch(relayed)
-            assert [row.key for row in snapshot.rows] == ["config"]
-        finally:
-            await relayed.close()
-            await store_relay.close()
+        snapshot = await watch_through_relay(client)
+        assert [row.key for row in snapshot.rows] == ["config"]
 
     run_with_slow_store(scenario)
 
@@ -176,17 +182,7 @@
 
     async def scenario(server, client):
         server.stalled = True
-        address = f"127.0.0.1:{free_port()}"
-        store_relay = StoreRelay(client, address)
-        await store_relay.start()
-        relayed = StoreClient(lambda: address, fail_fast=False)
-        await relayed.start()
-        try:
-            with pytest.raises(StoreUnknown):
-                async with asyncio.timeout(20 * LIMIT_S):
-                    await watch(relayed)
-        finally:
-            await relayed.close()
-            await store_relay.close()
+        with pytest.raises(StoreUnknown):
+            await watch_through_relay(client)
 
     run_with_slow_store(scenario)
