Start nothing in a data centre that is being evacuated

Change: a host follows these rows beside the configuration, through losses of history too; the planner leaves the workers of such a data centre out of its pools, so neither placement nor preemption uses them, and starts nothing before it has read the operator's table. What runs there goes on.

--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -83,6 +83,7 @@
     :param decode_worker: decodes a registration; returns None if it is invalid
     :param configuration: returns the current configuration, if there is one
     :param advise: calls the advice service; returns None without a usable reply
+    :param evacuated: returns the data centres that the operator evacuates
     :param waves: returns the maintenance waves that the operator has requested
     :param encode_wave: returns the row that reports a wave's state to the operator
     :param retention_s: retention period of finished jobs, in seconds
@@ -100,6 +101,7 @@
         configuration: Callable[[], Configuration | None],
         advise: Callable[[AdviceRequest], Awaitable[Advice | None]],
         machines: UpkeepCalls,
+        evacuated: Callable[[], frozenset[str]],
         waves: Callable[[], Iterable[Wave]],
         encode_wave: Callable[[int, bool], RowWrite],
         retention_s: float,
@@ -125,6 +127,7 @@
         self._decode_worker = decode_worker
         self._configuration = configuration
         self._machines = machines
+        self._evacuated = evacuated
         self._advise = advise
         self._upkeep = UpkeepController(
             store,
@@ -200,6 +203,7 @@
             self._wake.clear()
             now, unix_s = clock.steady_s(), clock.unix.now_s()
             self._adopt_configuration()
+            self.planner.evacuated = self._evacuated()
             self.planner.tick(now=now, unix_s=unix_s)
             may_start = self._may_start(now)
             for order in self.planner.plan(now=now, unix_s=unix_s, may_start=may_start):
@@ -213,7 +217,12 @@
             self._check_isolation(now)
 
     def _may_start(self, now: float) -> bool:
-        """Return whether a run that is started now gets a lease and fits its worker."""
+        """Return whether a run that is started now gets a lease and fits its worker.
+
+        Evacuations are known once the configuration is, which is read with them.
+        """
+        if self._configuration() is None:
+            return False
         lease_s = self.state_writer.worker_lease_limit - now
         registrations_age_s = now - self._worker_rows.last_response_at
         return lease_s > MIN_LEASE_S and registrations_age_s < REGISTRATIONS_MAX_AGE_S
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -62,6 +62,7 @@
         before it restarts what this planner may have started.
     :ivar cordoned: workers that get no new runs because they are about to be taken
         down
+    :ivar evacuated: data centres in which nothing is started
     :ivar advice_requests: requests to be sent to the advice service
     """
 
@@ -74,6 +75,7 @@
         self._state = ClusterState()
         self.stored_roster: frozenset[str] = frozenset()
         self.cordoned: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
         self._acquired_revision = inherited_revision
@@ -438,7 +440,8 @@
         allowed = self.stored_roster - self.cordoned
         usable: dict[str, list[Worker]] = {}
         for name, worker in self.workers.items():
-            if name in allowed and worker.usable(now):
+            evacuated = worker.entry.data_centre in self.evacuated
+            if name in allowed and not evacuated and worker.usable(now):
                 usable.setdefault(worker.entry.service, []).append(worker)
         known = self._pools
         self._pools = {
--- a/libs/planner/tests/test_capacity.py
+++ b/libs/planner/tests/test_capacity.py
@@ -105,6 +105,7 @@
         configuration=configuration,
         advise=None,
         machines=SimpleNamespace(list_machines=list_machines),
+        evacuated=frozenset,
         waves=lambda: (),
         encode_wave=None,
         retention_s=60.0,
--- a/libs/planner/tests/test_containment.py
+++ b/libs/planner/tests/test_containment.py
@@ -182,6 +182,7 @@
         configuration=lambda: None,
         advise=advise,
         machines=SimpleNamespace(list_machines=list_machines),
+        evacuated=frozenset,
         waves=lambda: (),
         encode_wave=lambda number, done: None,
         retention_s=60.0,
--- a/libs/planner/tests/test_takeover.py
+++ b/libs/planner/tests/test_takeover.py
@@ -156,6 +156,7 @@
         configuration=lambda: None,
         advise=lambda request: None,
         machines=SimpleNamespace(list_machines=list_machines),
+        evacuated=frozenset,
         waves=lambda: (),
         encode_wave=lambda number, done: None,
         retention_s=60.0,
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -362,6 +362,12 @@
 UPKEEP_ORDERED = Event(
     3208, "upkeep_ordered", "INFO", "A machine was taken down for its upkeep."
 )
+EVACUATION_CHANGED = Event(
+    3211,
+    "evacuation_changed",
+    "INFO",
+    "The operator evacuates a data centre or takes that back.",
+)
 WAVE_DONE = Event(
     3209, "wave_done", "INFO", "The upkeep of all machines of a wave is completed."
 )
--- a/tests/adapter/test_host.py
+++ b/tests/adapter/test_host.py
@@ -43,3 +43,24 @@
     assert sorted(host._waves) == ["wave/1", "wave/2"]
     host._apply_rows((wave_row(2),), 9)
     assert sorted(host._waves) == ["wave/2"]
+
+
+def evacuation_row(zone, revision=1, *, removed=False):
+    return StoreRow("op", f"evacuate/{zone}", b"", revision, removed)
+
+
+def test_an_evacuation_holds_until_its_row_is_removed(host):
+    """Guards against starts in a data centre that is being emptied."""
+    host._apply_row(evacuation_row("a"))
+    host._apply_row(evacuation_row("b", 2))
+    assert host._evacuated == {"a", "b"}
+    host._apply_row(evacuation_row("a", 3, removed=True))
+    assert host._evacuated == {"b"}
+
+
+def test_an_evacuation_taken_back_while_the_history_was_lost_is_over(host):
+    """Guards against a data centre that stays empty for ever."""
+    host._apply_rows((evacuation_row("a"), evacuation_row("b")), 1)
+    assert host._evacuated == {"a", "b"}
+    host._apply_rows((evacuation_row("b"),), 9)
+    assert host._evacuated == {"b"}
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -109,6 +109,7 @@
         machines=SimpleNamespace(
             list_machines=list_machines, begin_upkeep=begin_upkeep
         ),
+        evacuated=frozenset,
         waves=lambda: (),
         encode_wave=encode_wave,
         retention_s=60.0,
