--- a/tests/path/platform_deployment.py
+++ b/tests/path/platform_deployment.py
@@ -72,15 +72,19 @@
         self.ports = {}
 
     async def start(self, hosts=2, workers=2):
-        await self.store.start()
-        await self.store.put("op", "config", CONFIGURATION)
-        await self.fleet.start(workers)
+        await self.start_platform(workers)
         for number in range(hosts):
             self.launch(f"host-{number}")
         self.session = aiohttp.ClientSession()
         for name in self.hosts:
             await self.wait_until_ready(name)
 
+    async def start_platform(self, workers):
+        """Start the store and the workers."""
+        await self.store.start()
+        await self.store.put("op", "config", CONFIGURATION)
+        await self.fleet.start(workers)
+
     def get_store_address(self, _name):
         """Return the address at which a host reaches the store."""
         return self.store.listener.address
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -16,12 +16,14 @@
     :ivar drop_requests: drop the data that clients send
     :ivar drop_answers: drop the data that the server sends
     :ivar delay_s: delay of every chunk in each direction, in seconds
+    :ivar bytes_per_s: bandwidth of each connection in each direction; None for no limit
     """
 
     def __init__(self, target: str) -> None:
         self.drop_requests = False
         self.drop_answers = False
         self.delay_s = 0.0
+        self.bytes_per_s: float | None = None
         self._target = target
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -87,8 +89,11 @@
     ) -> None:
         dropped = False
         while data := await reader.read(READ_SIZE_BYTES):
-            if self.delay_s:
-                await asyncio.sleep(self.delay_s)
+            pause_s = self.delay_s
+            if self.bytes_per_s is not None:
+                pause_s += len(data) / self.bytes_per_s
+            if pause_s:
+                await asyncio.sleep(pause_s)
             dropped = dropped or getattr(self, drop_flag)
             if not dropped:
                 writer.write(data)
