--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,78 +1,51 @@
-"""A wave of upkeep takes down two machines at once, with both tasks of a step."""
+"""An executor starts again under its identifier; two of its answers change places.
+
+The planner learns of the restart from a list of runs. It then releases all runs there,
+also one that it has started in the new life, after the list was made.
+"""
 
 import asyncio
 import sys
-import time
 
-from standins import FOREVER, Deployment, Executor, run_case, trouble
+from standins import Deployment, run_case, trouble
+
+FILLER, JOB = "0b1d6f2c93e85a47", "7d20c4e1f85b9a36"
+DOWN_S = 0.35
+# The restarted executor's first list is under way for this long.
+LIST_DELAY_S = 0.5
+# The job is submitted this long after the crash.
+SUBMIT_AFTER_S = 0.45
+
 
-JOB = "e2c7401f9d5b36a8"
-TASKS, MAY_MISS = 2, 1
-WAVE = 1
-LIMIT_S = 40.0
+def job(work_s: float, gpu: int) -> dict[str, object]:
+    """Return the body of a job of one task."""
+    step = {"count": 1, "cpu": 1_000, "mem-mb": 500, "gpu": gpu}
+    return {"spec": str(work_s), "steps": [{**step, "estimate-ms": work_s * 1000}]}
 
 
 async def case(deployment: Deployment) -> str:
     """Play the case and return how the rule was broken."""
-    fleet, store, record = deployment.fleet, deployment.store, deployment.record
+    fleet = deployment.fleet
     await deployment.start(hosts=2)
-    step = {
-        "count": TASKS,
-        "cpu": 4_000,
-        "mem-mb": 4_000,
-        "gpu": 1,
-        "estimate-ms": 1_000,
-        "anti-affinity": 1,
-        "long-running": True,
-        "may-miss": MAY_MISS,
-    }
-    if not await deployment.submit(f"/batch/{JOB}", {"spec": FOREVER, "steps": [step]}):
-        raise RuntimeError("the job was not accepted")
-    while fleet.running(JOB) < TASKS:  # noqa: ASYNC110
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(5.0)
-    if not trouble():
-        await asyncio.sleep(10.0)
-        await deployment.call("GET", f"/batch/{JOB}")
-        return ""
-    broken: list[str] = []
-
-    def check(executor: Executor) -> None:
-        """Compare the tasks that an upkeep ends with those that are away."""
-        at_work = {
-            run.task: each
-            for each in fleet.executors
-            for run in each.runs.values()
-            if run.percent == 100  # noqa: PLR2004
-        }
-        ended = [task for task, each in at_work.items() if each is executor]
-        away = TASKS - len(at_work)
-        record.write(f"{executor.machine}: ends {ended}, while {away} are away")
-        if ended and away >= MAY_MISS:
-            broken.append(
-                f"AVAIL: the upkeep of {executor.machine} ends {ended[0]} at work,"
-                f" while {away} other task(s) of its step are away and it may miss"
-                f" {MAY_MISS}"
-            )
-
-    deployment.cloud.on_upkeep = check
-    machines = [each.machine for each in fleet.executors if each.runs]
-    store.put(
-        "op",
-        f"wave/{WAVE}",
-        {"wave": WAVE, "machines": machines, "duration-s": 30, "max-count": 2},
-    )
-    record.write(f"wave {WAVE} of {machines}, at most 2 at once")
-    began_at = time.monotonic()
-    while time.monotonic() - began_at < LIMIT_S:
-        await asyncio.sleep(0.5)
-        status = store.value("status", f"wave/{WAVE}") or {}
-        if status.get("state") == "completed":
-            record.write("the wave is shown as completed")
-            break
+    # Tasks go to the fullest executor, which is the one that this job runs on.
+    if not await deployment.submit(f"/batch/{FILLER}", job(60.0, 4)):
+        raise RuntimeError("the first job was not accepted")
+    executor, _ = await fleet.wait_for(FILLER)
+    await asyncio.sleep(2.0)
+    if trouble():
+        executor.listed.clear()
+        await executor.listed.wait()
+        executor.slow_hold_s = LIST_DELAY_S
+        restart = asyncio.create_task(executor.crash(DOWN_S))
+        await asyncio.sleep(SUBMIT_AFTER_S)
+        await restart
+    if not await deployment.submit(f"/batch/{JOB}", job(4.0, 1)):
+        raise RuntimeError("the second job was not accepted")
+    await asyncio.sleep(8.0)
     await deployment.call("GET", f"/batch/{JOB}")
-    return broken[0] if broken else ""
+    await deployment.call("GET", f"/batch/{FILLER}")
+    return f"TWICE: {fleet.twice[0]}" if fleet.twice else ""
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(__file__, case, executors=5))
+    sys.exit(run_case(__file__, case, executors=7))
