--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,60 +1,50 @@
-"""Executors crash one at a time; jobs whose tasks never failed are shown as failed."""
+"""An executor starts again under its identifier; two of its answers change places.
+
+The planner learns of the restart from a list of runs. It then releases all runs there,
+also one that it has started in the new life, after the list was made.
+"""
 
 import asyncio
 import sys
-import time
 
-from standins import FOREVER, OK, Deployment, run_case, trouble
+from standins import Deployment, run_case, trouble
 
-SHORT, LASTING = "3f9a51c07be2d864", "a84e02d19c6b7f53"
-# One executor of seven is down at a time, for less than the 4.4 s that the pages name.
-DOWN_S = 1.5
-WORK_S = 8.0
-CRASHES = {SHORT: 2, LASTING: 4}
-# The short job's task is hit soon after its start, the lasting one's well after it.
-CRASH_AFTER_S = {SHORT: 1.0, LASTING: 3.0}
+FILLER, JOB = "0b1d6f2c93e85a47", "7d20c4e1f85b9a36"
+DOWN_S = 0.35
+# The restarted executor's first list is under way for this long.
+LIST_DELAY_S = 0.5
+# The job is submitted this long after the crash.
+SUBMIT_AFTER_S = 0.45
 
 
-async def _crash(deployment: Deployment, job: str) -> None:
-    """Crash the executor that runs a job's task, several times, one after another."""
-    for _ in range(CRASHES[job]):
-        try:
-            executor, run = await deployment.fleet.wait_for(job, limit_s=10.0)
-        except TimeoutError:
-            return
-        await asyncio.sleep(
-            max(0.0, run.began_at + CRASH_AFTER_S[job] - time.monotonic())
-        )
-        await executor.crash(DOWN_S)
+def job(work_s: float, gpu: int) -> dict[str, object]:
+    """Return the body of a job of one task."""
+    step = {"count": 1, "cpu": 1_000, "mem-mb": 500, "gpu": gpu}
+    return {"spec": str(work_s), "steps": [{**step, "estimate-ms": work_s * 1000}]}
 
 
 async def case(deployment: Deployment) -> str:
     """Play the case and return how the rule was broken."""
     fleet = deployment.fleet
     await deployment.start(hosts=2)
-    step = {"count": 1, "cpu": 1_000, "mem-mb": 500, "gpu": 8}
-    short = {**step, "estimate-ms": WORK_S * 1000}
-    lasting = {**step, "estimate-ms": 1_000, "long-running": True}
-    bodies = {
-        SHORT: {"spec": str(WORK_S), "steps": [short]},
-        LASTING: {"spec": FOREVER, "steps": [lasting]},
-    }
-    failed = []
-    for job, body in bodies.items():
-        if not await deployment.submit(f"/batch/{job}", body):
-            raise RuntimeError(f"{job} was not accepted")
-        if trouble():
-            await _crash(deployment, job)
-        await asyncio.sleep(WORK_S + 4.0)
-        status, document = await deployment.call("GET", f"/batch/{job}")
-        ends = [end for task in fleet.ends if job in task for end in fleet.ends[task]]
-        deployment.record.write(f"ends of {job}: {ends}")
-        own_failures = [end for end in ends if end[1] == "failed"]
-        if status == OK and document["state"] == "failed" and not own_failures:
-            failed.append(job)
-    if not failed:
-        return ""
-    return f"LOST: shown as failed without an end `failed`: {', '.join(failed)}"
+    # Tasks go to the fullest executor, which is the one that this job runs on.
+    if not await deployment.submit(f"/batch/{FILLER}", job(60.0, 4)):
+        raise RuntimeError("the first job was not accepted")
+    executor, _ = await fleet.wait_for(FILLER)
+    await asyncio.sleep(2.0)
+    if trouble():
+        executor.listed.clear()
+        await executor.listed.wait()
+        executor.slow_hold_s = LIST_DELAY_S
+        restart = asyncio.create_task(executor.crash(DOWN_S))
+        await asyncio.sleep(SUBMIT_AFTER_S)
+        await restart
+    if not await deployment.submit(f"/batch/{JOB}", job(4.0, 1)):
+        raise RuntimeError("the second job was not accepted")
+    await asyncio.sleep(8.0)
+    await deployment.call("GET", f"/batch/{JOB}")
+    await deployment.call("GET", f"/batch/{FILLER}")
+    return f"TWICE: {fleet.twice[0]}" if fleet.twice else ""
 
 
 if __name__ == "__main__":
