--- a/review/standins.py
+++ b/review/standins.py
@@ -771,6 +771,7 @@
         route("quick", "/quick/", 0, 4),
         route("batch", "/batch/", 1, 3),
         route("batch-b", "/batch-b/", 1, 3),
+        route("late", "/late/", 2, 2),
     ],
     "services": [{"name": "pool", "rejects-overload": False}],
     "tenants": [
