--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import logging
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +27,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+# Below the ports that Linux gives to outgoing connections.
+PORTS = (15_000, 32_000)
 OK, BAD_REQUEST, CONFLICT, GONE, MISDIRECTED, PRECONDITION, THROTTLED = (
     200,
     400,
@@ -53,6 +56,7 @@
 BODY_TYPE = "application/json"
 SCRIPT_LIMIT_S = 115.0
 KEYS = {"a": "key-a", "b": "key-b"}
+given_ports: set[int] = set()
 
 
 def trouble() -> bool:
@@ -450,6 +454,9 @@
         self._lease_until = max(self._lease_until, until)
 
     async def _hold(self, body: dict[str, Any]) -> web.Response:
+        for sequence, task, number, _, _ in self._ends:
+            if sequence <= body["ack-seq"]:
+                self._fleet.noted.add((self.identifier, task, number))
         self._ends = [end for end in self._ends if end[0] > body["ack-seq"]]
         self._extend_lease(body)
         ends_at = time.monotonic() + body.get("wait-ms", 0) / 1000
@@ -517,6 +524,9 @@
     :ivar started: number of starts
     :ivar began: tasks that were started
     :ivar ends: ends by task, as ``(number, how)``
+    :ivar noted: ends that were acknowledged, as ``(executor, task, number)``
+    :ivar again: starts of tasks of which a run had ended ``done``: the run that had,
+        as in ``noted``, and a text
     """
 
     def __init__(self, record: Record, *, quiet: str = "") -> None:
@@ -525,6 +535,9 @@
         self.started = 0
         self.began: set[str] = set()
         self.ends: dict[str, list[tuple[int, str]]] = {}
+        self.noted: set[tuple[str, str, int]] = set()
+        self.again: list[tuple[tuple[str, str, int], str]] = []
+        self._done: dict[str, tuple[str, str, int]] = {}
         self._record = record
         self._quiet = quiet
 
@@ -569,6 +582,14 @@
             self._record.write(
                 f"{executor.identifier} starts {run.task} run {run.number}"
             )
+        done = self._done.get(run.task)
+        if done is not None:
+            text = (
+                f"{run.task} run {run.number} starts on {executor.identifier} after run"
+                f" {done[2]} has ended done on {done[0]}"
+            )
+            self.again.append((done, text))
+            self._record.write(text)
         for identifier, number in others:
             text = (
                 f"{run.task} run {run.number} starts on {executor.identifier} while"
@@ -580,6 +601,8 @@
     def note_end(self, executor: Executor, run: Run, how: str) -> None:
         """Record the end of a run."""
         self.ends.setdefault(run.task, []).append((run.number, how))
+        if how == "done":
+            self._done.setdefault(run.task, (executor.identifier, run.task, run.number))
         if not self._quiet or not run.task.startswith(self._quiet):
             self._record.write(
                 f"{executor.identifier} ends {run.task} run {run.number}: {how}"
@@ -744,10 +767,19 @@
 
 
 def free_port() -> int:
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port outside the range that outgoing connections use."""
+    for port in random.sample(range(*PORTS), 100):
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
+    raise RuntimeError("no free port")
 
 
 def route(name: str, prefix: str, priority: int, max_attempts: int) -> dict[str, Any]:
