Keep runs that a restarted worker's list cannot show yet

When the list arrives, its new start time made the planner release every run on the worker, also the one that the new life had confirmed after the list was made.

Cause: Planner.apply_heartbeat took a restart for proof that all known runs had ended. Only in one and the same life did it ask whether a run had been settled before the list was requested. A start or stop that had not been answered was released as well, though the new life may still carry it out.

Change: one rule for both cases, Run.settled_before: a list settles a run only if the last order for it had been answered before the list was requested. What the new life lists, active or ended, is its own. The rest stays until a later list settles it. Whether such a run was lost with the former life, and counts as a crash of its task, is decided then, so a task that crashes its workers is still counted and a sound one in the new life is not.

The stand-in site of test_crashes.py answers stops now, as workers do; before it never did.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -1,5 +1,7 @@
 """Jobs, workers and runs as the planner knows them, and the handling of ended runs."""
 
+from collections.abc import Container
+
 from bilberryhitch_jobs import JobState, TaskName
 from bilberryhitch_telemetry import events, log
 
@@ -185,6 +187,79 @@
             )
         self._release_all(worker, now, unix_s)
 
+    def apply_restart(
+        self,
+        worker: Worker,
+        own: Container[tuple[TaskName, int]],
+        sent_at: float,
+        now: float,
+        unix_s: float,
+        *,
+        announced: bool,
+    ) -> None:
+        """Release the runs that ended with the former life of a restarted worker.
+
+        A run whose last order was answered after the request for the new life's list
+        may be in either life. A later list settles it.
+
+        :param own: runs that the new life lists, active or ended
+        :param sent_at: monotonic time at which the request for that list was sent
+        :param announced: the former life was expected to end, so this was no crash
+        """
+        lapsed = bool(worker.lapsed)
+        missing = {key: run for key, run in worker.runs.items() if key not in own}
+        ended = [run for run in missing.values() if run.settled_before(sent_at)]
+        doubtful = {
+            key: lost_task(worker, run, run.unit)
+            for key, run in missing.items()
+            if run.unit is not None and run not in ended
+        }
+        lost, worker.lapsed = worker.lapsed, []
+        lost += [lost_task(worker, run, run.unit) for run in ended if run.unit]
+        lost += [task for task, _ in self._inherited.take(worker.entry.worker)]
+        worker.doubtful = {}
+        if not announced:
+            proof = not lapsed and is_proof(worker, [*lost, *doubtful.values()])
+            worker.doubtful = {key: (task, proof) for key, task in doubtful.items()}
+            self._count_crash(
+                worker.entry.worker, lost, unix_s, certain=True, proof=proof
+            )
+        worker.last_end_sequence = 0
+        worker.record_failure(now)
+        for run in ended:
+            self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
+
+    def release_missing_runs(
+        self,
+        worker: Worker,
+        listed: Container[tuple[TaskName, int]],
+        sent_at: float,
+        now: float,
+        unix_s: float,
+    ) -> None:
+        """Release the runs that have ended, as the worker does not list them.
+
+        :param listed: active runs on the worker
+        :param sent_at: monotonic time at which the request for the list was sent
+        """
+        ended = [
+            (key, run)
+            for key, run in worker.runs.items()
+            if key not in listed and run.settled_before(sent_at)
+        ]
+        for key, run in ended:
+            if key in worker.doubtful:
+                task, proof = worker.doubtful[key]
+                self._count_crash(
+                    worker.entry.worker, [task], unix_s, certain=True, proof=proof
+                )
+            self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
+        worker.doubtful = {
+            key: doubt
+            for key, doubt in worker.doubtful.items()
+            if key in worker.runs and key not in listed
+        }
+
     def release_lapsed_worker(
         self, worker: Worker, now: float, unix_s: float, *, announced: bool
     ) -> None:
@@ -205,6 +280,7 @@
     def _take_lost_tasks(self, worker: Worker) -> list[LostTask]:
         """Return the tasks that may have had a run on a worker that has none now."""
         lost, worker.lapsed = worker.lapsed, []
+        worker.doubtful = {}
         lost += [
             lost_task(worker, run, run.unit)
             for run in worker.runs.values()
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -263,12 +263,13 @@
         if worker is None:
             return
         started_ms = reply.started_ms or worker.started_ms
+        listed = {(running.task, running.run) for running in reply.running}
         if worker.started_ms not in (0, started_ms):
-            # The worker restarted under the same identifier: its runs are gone.
             announced = self._end_announced(worker)
-            self._state.release_ended_worker(worker, now, unix_s, announced=announced)
-            worker.last_end_sequence = 0
-            worker.record_failure(now)
+            own = listed | {(ended.task, ended.run) for ended in reply.ended}
+            self._state.apply_restart(
+                worker, own, sent_at, now, unix_s, announced=announced
+            )
         worker.started_ms = started_ms
         worker.lapsed = []
         worker.set_clock(reply.clock_s, now)
@@ -277,19 +278,12 @@
             log(events.WORKER_SYNCED, worker=name, running=len(reply.running))
         for ended in reply.ended:
             self._state.apply_ended(worker, ended, now, unix_s)
-        listed = set()
         for running in reply.running:
-            listed.add((running.task, running.run))
             self._state.apply_running(worker, running, now)
         self._state.settle_inherited(worker, started_ms, unix_s)
         self._state.orders += throttle_orders(worker, now)
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
-            for key, run in list(worker.runs.items()):
-                settled = run.settled_at is not None and run.settled_at < sent_at
-                if key not in listed and settled:
-                    self._state.release_run(
-                        worker, run, EndKind.LAPSED, "", now, unix_s
-                    )
+            self._state.release_missing_runs(worker, listed, sent_at, now, unix_s)
 
     def apply_start_outcome(
         self,
--- a/libs/planner/src/bilberryhitch_planner/runs.py
+++ b/libs/planner/src/bilberryhitch_planner/runs.py
@@ -90,3 +90,10 @@
         self.settled_at: float | None = None
         self.confirmed = False
         self.exclusive = False
+
+    def settled_before(self, sent_at: float) -> bool:
+        """Return whether a list requested at a time shows if the run exists.
+
+        :param sent_at: monotonic time at which the list was requested
+        """
+        return self.settled_at is not None and self.settled_at < sent_at
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -49,6 +49,8 @@
     :ivar forecast: expected ends of its runs; None after they have changed
     :ivar lapsed: tasks that ran on it when its lease expired, until it answers again
     :ivar exclusive: nothing may be placed beside its runs
+    :ivar doubtful: by run that may have ended with the worker's former life: its task,
+        and whether the crash of that life can only be due to that task
     """
 
     def __init__(self, entry: WorkerEntry, now: float) -> None:
@@ -70,6 +72,7 @@
         self.forecast: Forecast | None = None
         self.exclusive = False
         self.lapsed: list[LostTask] = []
+        self.doubtful: dict[tuple[TaskName, int], tuple[LostTask, bool]] = {}
         self._clock_offset = 0.0
 
     @property
--- a/libs/planner/tests/test_crashes.py
+++ b/libs/planner/tests/test_crashes.py
@@ -73,6 +73,7 @@
         self.running = {}
         self.sequences = {}
         self.stopped = []
+        self.unanswered_stops = []
         self.finish_at = {}
         self.work_s = 2.0
         self._beat()
@@ -86,6 +87,7 @@
         while self.harness.now < until and not stop():
             self.harness.now += ROUND_S
             self._return_workers()
+            self._answer_stops()
             self._beat()
             self._carry_out(self.harness.plan())
 
@@ -118,8 +120,11 @@
     def _carry_out(self, orders):
         for order in orders:
             runs = self.running.get(order.worker, {})
-            if isinstance(order, StopOrder) and (order.task, order.run) in runs:
-                self.stopped.append(runs.pop((order.task, order.run)))
+            if isinstance(order, StopOrder):
+                self.unanswered_stops.append(order)
+                if (order.task, order.run) in runs:
+                    self.stopped.append(runs.pop((order.task, order.run)))
+        self._answer_stops()
         self._start([order for order in orders if isinstance(order, StartOrder)])
 
     def _start(self, orders):
@@ -142,6 +147,16 @@
             if deadly:
                 self.crash(name, deadly)
 
+    def _answer_stops(self):
+        """Answer the stops of the workers that are up; the others are repeated."""
+        up = self.born.keys() - self.back_at.keys()
+        for order in self.unanswered_stops:
+            if order.worker in up:
+                self.harness.answer_stop(order)
+        self.unanswered_stops = [
+            order for order in self.unanswered_stops if order.worker not in up
+        ]
+
     def _next_sequence(self, name):
         key = (name, self.born[name])
         self.sequences[key] = self.sequences.get(key, 0) + 1
--- /dev/null
+++ b/libs/planner/tests/test_restarts.py
@@ -0,0 +1,137 @@
+"""Workers that restart under their identifier while answers of theirs are under way.
+
+Pattern: a worker crashes and is back within a second. Its answers to heartbeats and to
+orders travel on different connections and overtake each other.
+"""
+
+import pytest
+from bilberryhitch_jobs import CrashCount
+from bilberryhitch_planner import EndKind, StartOutcome, StopOrder
+from bilberryhitch_testing.planner_harness import (
+    PlannerHarness,
+    ended,
+    entry,
+    request,
+    running,
+    step,
+)
+
+FORMER, NEW = 1, 2
+
+
+def harness_with_former_life():
+    """Return a planner whose worker ``w0`` runs a task of its former life."""
+    harness = PlannerHarness(entry("w0"), entry("w1"))
+    for name in ("w0", "w1"):
+        harness.send_heartbeat(name, born_ms=FORMER)
+    harness.add(request("old", step(gpu=4)))
+    (order,) = harness.start_all()
+    harness.now = 5.0
+    harness.send_heartbeat("w0", [running(order)], born_ms=FORMER)
+    harness.send_heartbeat("w1", born_ms=FORMER)
+    return harness, order
+
+
+def starts_within(harness, seconds):
+    """Return the start orders of some time in which all workers answer."""
+    orders = []
+    for _ in range(int(seconds / 0.5)):
+        harness.now += 0.5
+        harness.send_all_heartbeats()
+        orders += harness.start_all()
+    return orders
+
+
+def start_in_new_life(harness):
+    """Start a task in the new life, of which a list is still under way.
+
+    :returns: the start order, and the time at which the list was requested
+    """
+    harness.now = requested_at = 5.2
+    harness.add(request("new", step()))
+    (order,) = harness.plan_starts()
+    harness.now = 5.4
+    harness.answer_start(order)
+    harness.now = 5.7
+    harness.send_heartbeat("w0", born_ms=NEW, sent_at=requested_at)
+    return order
+
+
+def test_a_run_of_the_new_life_is_not_started_elsewhere_after_an_older_list():
+    """Guards against two runs of a task at the same time, as a list of runs that was
+    made before its start is taken for proof that it has ended.
+    """
+    harness, old = harness_with_former_life()
+    new = start_in_new_life(harness)
+    assert [order.task for order in harness.plan_starts()] == [old.task]
+    harness.now = 5.8
+    harness.send_heartbeat("w0", [running(new)], born_ms=NEW)
+    (unit,) = harness.planner.jobs["new"].units
+    assert not unit.crashes
+    assert not harness.plan_starts()
+
+
+def test_a_run_that_neither_list_shows_was_lost_with_the_former_life():
+    """Guards against a task that is never started again, or whose crash is not counted,
+    as its start was answered after the list was requested.
+    """
+    harness, _ = harness_with_former_life()
+    new = start_in_new_life(harness)
+    harness.plan()
+    harness.now = 5.8
+    harness.send_heartbeat("w0", born_ms=NEW)
+    (unit,) = harness.planner.jobs["new"].units
+    assert unit.crashes == {0: CrashCount(1, 1, 0)}
+    orders = starts_within(harness, 4.0)
+    assert [order.run for order in orders if order.task == new.task] == [2]
+
+
+def test_a_run_that_ended_in_the_new_life_before_its_list_is_done():
+    """Guards against a short task that is done again after a restart."""
+    harness, _ = harness_with_former_life()
+    harness.add(request("new", step()))
+    (order,) = harness.start_all()
+    harness.now = 6.0
+    harness.send_heartbeat("w0", ended=[ended(order)], born_ms=NEW)
+    (unit,) = harness.planner.jobs["new"].units
+    assert unit.done
+    assert not unit.crashes
+
+
+@pytest.mark.parametrize("outcome", [StartOutcome.UNKNOWN, None])
+def test_an_unanswered_start_holds_its_task_after_a_restart(outcome):
+    """Guards against two runs of a task, as a start that was not answered may be
+    carried out by the new life.
+    """
+    harness, _ = harness_with_former_life()
+    harness.add(request("new", step()))
+    (order,) = harness.plan_starts()
+    if outcome is not None:
+        harness.answer_start(order, outcome, certain=False)
+    harness.now = 6.0
+    harness.send_heartbeat("w0", born_ms=NEW)
+    assert order.task not in [each.task for each in harness.plan_starts()]
+    if outcome is None:
+        harness.answer_start(order, StartOutcome.UNKNOWN, certain=False)
+    orders = harness.plan()
+    assert order.task not in [each.task for each in orders if each.run > order.run]
+    harness.now = 6.1
+    harness.answer_stop(StopOrder("w0", order.task, order.run))
+    harness.now = 6.2
+    harness.send_heartbeat("w0", born_ms=NEW)
+    orders = starts_within(harness, 4.0)
+    assert [each.run for each in orders if each.task == order.task] == [2]
+
+
+def test_a_run_that_ended_in_the_former_life_is_not_listed_twice():
+    """Guards against ends of a new life that are taken for those of the former one."""
+    harness, old = harness_with_former_life()
+    harness.now = 5.5
+    harness.send_heartbeat(
+        "w0", ended=[ended(old, EndKind.STOPPED, sequence=9)], born_ms=FORMER
+    )
+    (again,) = harness.start_all()
+    harness.now = 6.0
+    harness.send_heartbeat("w0", ended=[ended(again, sequence=1)], born_ms=NEW)
+    (unit,) = harness.planner.jobs["old"].units
+    assert unit.done
--- a/libs/testing/src/bilberryhitch_testing/planner_harness.py
+++ b/libs/testing/src/bilberryhitch_testing/planner_harness.py
@@ -23,6 +23,8 @@
     RunningTask,
     StartOrder,
     StartOutcome,
+    StopOrder,
+    StopOutcome,
     WorkerEntry,
 )
 from bilberryhitch_planner.reports import Order
@@ -134,17 +136,19 @@
         running: Iterable[RunningTask] = (),
         ended: Iterable[EndedTask] = (),
         born_ms: int = 0,
+        sent_at: float | None = None,
     ) -> None:
         """Pass a worker's heartbeat reply to the planner and extend the worker's lease.
 
         :param running: runs in progress that the worker lists
         :param ended: ended runs that the worker lists
         :param born_ms: Unix time of the worker's start; 0 if it is not reported
+        :param sent_at: time at which the heartbeat was sent; by default now
         """
         self.planner.apply_heartbeat(
             worker,
             HeartbeatReply(self.now, born_ms, tuple(running), tuple(ended)),
-            sent_at=self.now,
+            sent_at=self.now if sent_at is None else sent_at,
             now=self.now,
             unix_s=START_UNIX_S + self.now,
         )
@@ -197,6 +201,12 @@
             unix_s=START_UNIX_S + self.now,
         )
 
+    def answer_stop(
+        self, order: StopOrder, outcome: StopOutcome = StopOutcome.STOPPED
+    ) -> None:
+        """Pass the outcome of a stop order to the planner."""
+        self.planner.apply_stop_outcome(order, outcome, now=self.now)
+
     def state(self, job: str) -> JobState:
         """Return a job's state."""
         return self.planner.jobs[job].state
