End the isolation of tasks that have worked, and their wait for it

Cause: a run of such a task kept everything else off its worker until it ended, and a task that lasts never ends. The count of its crashes is taken back at the next crash only. The other half of it: such a task waited for a worker that runs nothing for as long as more than half of the cores were in use, so it was kept down itself.

Change: isolation has an end on both sides. A run lets others in once its worker has answered 2 s after its order: a crash from then on no longer counts as caused by its start, so isolation proves nothing more. A unit that waits for an idle worker runs beside others after 2 s if it is long-running or the pool is mostly idle, as before, and after 6 s otherwise; it avoids workers with another such unit if it can, so that a sound one is not taken down again and again by the same neighbour.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -18,6 +18,7 @@
 from bilberryhitch_telemetry import events, log
 
 from .cluster_state import ClusterState, format_task
+from .crashes import EARLY_S
 from .guarantees import Guarantees
 from .ordering import step_sort_key
 from .reports import (
@@ -284,6 +285,7 @@
         self._state.orders += throttle_orders(worker, now)
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
             self._state.release_missing_runs(worker, listed, sent_at, now, unix_s)
+        worker.end_isolation(EARLY_S)
 
     def apply_start_outcome(
         self,
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -32,9 +32,11 @@
 # must be idle for that.
 REMOTE_DATA_AFTER_S = 1.5
 IDLE_SHARE = 0.5
-# How long a unit that may crash workers waits for one that runs nothing, while most of
-# the pool is idle but other work runs on every worker.
+# How long a unit that may crash workers waits for one that runs nothing: in a pool that
+# is mostly idle, or if it is long-running.
 ISOLATION_WAIT_S = 2.0
+# The same for other units in a busy pool.
+BUSY_ISOLATION_WAIT_S = 6.0
 EMPTY_POOL = WorkerPool(())
 
 
@@ -206,8 +208,8 @@
     ) -> dict[int, Worker] | None:
         """Choose workers, idle ones for a unit that may crash them.
 
-        In a pool that is mostly idle, work that never ends may keep every worker busy.
-        Such a unit runs beside it then, after a while.
+        Work that never ends may keep every worker busy. Such a unit runs beside it
+        then, after a while, and beside another one like it only as a last resort.
 
         :returns: the worker of each task, by task index; None if the unit must wait
         """
@@ -219,13 +221,14 @@
         idle = [worker for worker in allowed if not worker.runs]
         members = self._place_among(unit, idle, pool, any_rack)
         waited_s = self._now - unit.alone_since
-        if (
-            members is None
-            and waited_s > ISOLATION_WAIT_S
-            and _mostly_idle(pool.workers)
-        ):
-            return self._place_among(unit, allowed, pool, any_rack)
-        return members
+        short = unit.step.step.long_running or _mostly_idle(pool.workers)
+        limit_s = ISOLATION_WAIT_S if short else BUSY_ISOLATION_WAIT_S
+        if members is not None or waited_s <= limit_s:
+            return members
+        apart = [worker for worker in allowed if not _runs_suspect(worker)]
+        return self._place_among(unit, apart, pool, any_rack) or self._place_among(
+            unit, allowed, pool, any_rack
+        )
 
     def _place_among(
         self, unit: Unit, allowed: Sequence[Worker], pool: WorkerPool, any_rack: bool
@@ -378,6 +381,11 @@
         return plan_preemption(unit, candidates, allows, self._now)
 
 
+def _runs_suspect(worker: Worker) -> bool:
+    """Return whether a worker runs a unit that may crash it."""
+    return any(run.unit and run.unit.isolated for run in worker.runs.values())
+
+
 def _mostly_idle(workers: Sequence[Worker]) -> bool:
     """Return whether more than ``IDLE_SHARE`` of the processor cores are free."""
     total = sum(worker.entry.capacity.cpu for worker in workers)
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -5,7 +5,7 @@
 from bilberryhitch_jobs import Placement, TaskName
 
 from .reports import WorkerEntry
-from .runs import Run
+from .runs import Run, RunState
 
 if TYPE_CHECKING:
     from .crashes import LostTask
@@ -115,6 +115,20 @@
             self.exclusive = any(each.exclusive for each in self.runs.values())
             self.forecast = None
 
+    def end_isolation(self, after_s: float) -> None:
+        """Let other work in beside runs that have worked alone for long enough.
+
+        :param after_s: age of a run, in seconds, up to the worker's last answer
+        """
+        for run in self.runs.values():
+            if run.state is RunState.RUNNING and run.confirmed:
+                age_s = self.answered_at - run.ordered_at
+                run.exclusive = run.exclusive and age_s < after_s
+        exclusive = any(each.exclusive for each in self.runs.values())
+        if exclusive is not self.exclusive:
+            self.exclusive = exclusive
+            self.forecast = None
+
     def set_clock(self, clock_s: float, now: float) -> None:
         """Update the clock offset from a reply that has just arrived."""
         self._clock_offset = clock_s - now
