Limit how long reservations and headroom keep workers from others

Cause: a run of a long-running task was expected to end (at 100 percent of its target, or after its estimate), so the gang seemed to start now in every round, nothing else could end before that, and the choice was made again in each round without a limit in time.

Change, from the design down: a long-running run is never expected to end, so a gang that waits for one reserves nothing. A unit that reserves workers and does not start gives them up after 30 s, for 5 s, whatever it waits for: a run may last far longer than estimated. A unit that has waited for 2 s passes reservations and the workers set aside for urgent work if less than half of each of the service's resources is in use, and a long-running one however full the service is. A long-running task does not count as backfill by its estimate.

--- a/libs/planner/src/bilberryhitch_planner/forecast.py
+++ b/libs/planner/src/bilberryhitch_planner/forecast.py
@@ -1,5 +1,7 @@
 """Forecasts when the runs of a worker free enough of it for the tasks of a gang."""
 
+import math
+
 from bilberryhitch_jobs import Resources, Step
 
 from .placement import slots
@@ -48,7 +50,10 @@
 
     @property
     def idle_at(self) -> float:
-        """Monotonic time at which the last run ends; minus infinity without runs."""
+        """Monotonic time at which the last run ends; minus infinity without runs.
+
+        Infinity with a long-running one, which never ends by itself.
+        """
         return self._ends[-1][0] if self._ends else float("-inf")
 
     def available_at(self, step: Step, key: DemandKey) -> tuple[float, int]:
@@ -69,7 +74,7 @@
             return self.idle_at, most
         free_at, free = float("-inf"), self._free
         for end, demand in self._ends:
-            if slots(free, step) >= most:
+            if slots(free, step) >= most or end == math.inf:
                 break
             free_at, free = end, free.plus(demand)
         return free_at, slots(free, step)
@@ -93,6 +98,8 @@
     """Return the monotonic time at which a run should end; overdue ones lie before."""
     if run.state is RunState.STOPPING:
         return now + STOP_DURATION_S
+    if run.unit and run.unit.step.step.long_running:
+        return math.inf
     if run.percent >= MIN_PROGRESS_PERCENT and not (run.unit and run.unit.checkpoint):
         length_s = (run.advanced_at - run.ordered_at) * 100.0 / run.percent
     else:
--- a/libs/planner/src/bilberryhitch_planner/reservations.py
+++ b/libs/planner/src/bilberryhitch_planner/reservations.py
@@ -6,6 +6,7 @@
 take each worker as it becomes free, and the gang never starts in a busy pool.
 """
 
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -20,6 +21,10 @@
 MAX_RESERVED_POOL_SHARE = 0.75
 # Estimates of the end of a run vary by about this much between heartbeats.
 MIN_SWITCH_GAIN_S = 1.0
+# A gang may wait for runs that last far longer than expected. After this time the
+# workers go to others for a while, before it may reserve some again.
+MAX_RESERVED_S = 30.0
+LAPSED_S = 5.0
 # Limit on the gangs considered in one round, which bounds its CPU time.
 MAX_GANGS_PER_ROUND = 14
 
@@ -59,7 +64,8 @@
         found = self._by_worker.get(worker.entry.worker)
         if found is None or found.unit is unit:
             return True
-        return self._now + unit.step.step.estimate_s <= found.ready_at
+        step = unit.step.step
+        return not step.long_running and self._now + step.estimate_s <= found.ready_at
 
     def reserve(self, unit: Unit, workers: Sequence[Worker], pool: WorkerPool) -> None:
         """Reserve the workers on which a gang can start earliest.
@@ -68,7 +74,7 @@
         :param pool: all workers of its service
         """
         most = int(len(pool.workers) * MAX_RESERVED_POOL_SHARE) - len(self._by_worker)
-        if self._gangs >= MAX_GANGS_PER_ROUND or most <= 0:
+        if self._gangs >= MAX_GANGS_PER_ROUND or most <= 0 or self._has_lapsed(unit):
             return
         self._gangs += 1
         free = {
@@ -88,9 +94,20 @@
             if best and kept and kept.ready_at - best.ready_at < MIN_SWITCH_GAIN_S:
                 best = kept
         if best is not None:
+            if unit.reserved_since is None:
+                unit.reserved_since = self._now
             self._by_unit[id(unit)] = best
             self._by_worker.update(dict.fromkeys(best.workers, best))
 
+    def _has_lapsed(self, unit: Unit) -> bool:
+        """Return whether a unit has kept workers from others for too long."""
+        if unit.reserved_since is None:
+            return False
+        held_s = self._now - unit.reserved_since
+        if held_s > MAX_RESERVED_S + LAPSED_S:
+            unit.reserved_since = None
+        return MAX_RESERVED_S < held_s <= MAX_RESERVED_S + LAPSED_S
+
     def _earliest_reservation(
         self, unit: Unit, group: Sequence[Worker], most: int
     ) -> Reservation | None:
@@ -110,7 +127,7 @@
                 at, count = expected.idle_at, total_slots(worker, step)
             else:
                 at, count = expected.available_at(step, key)
-            if count > 0:
+            if count > 0 and at < math.inf:
                 at = max(at, self._now)
                 free_at.append((at, -worker.free.gpu, worker.entry.worker, count))
         free_at.sort()
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from bilberryhitch_jobs import JobState
+from bilberryhitch_jobs import JobState, Resources
 from bilberryhitch_telemetry import events, log
 
 from .cluster_state import ClusterState, format_task
@@ -37,6 +37,9 @@
 ISOLATION_WAIT_S = 2.0
 # The same for other units in a busy pool.
 BUSY_ISOLATION_WAIT_S = 6.0
+# How long reservations and headroom keep a unit off free workers, if less than half of
+# the service is in use.
+MAX_WAIT_S = 2.0
 EMPTY_POOL = WorkerPool(())
 
 
@@ -73,6 +76,7 @@
         self._headroom = {
             service: headroom(pool.workers) for service, pool in usable.items()
         }
+        self._underused: dict[str, bool] = {}
 
     def place_step(self, step: StepOccurrence) -> None:
         """Start the waiting units of a step that fit; preempt other work if allowed.
@@ -181,16 +185,31 @@
         may_use_headroom = urgent or unit.isolated
         # A unit within its guarantee may use workers reserved for other gangs.
         guaranteed = urgent and self._guarantees.covers(unit)
+        overdue = self._is_overdue(unit, MAX_WAIT_S)
         allows = self._state.preemptions.allows
         return [
             worker
             for worker in workers
             if not worker.exclusive
             and allows(worker, unit)
-            and (guaranteed or self.reserved.allows(worker, unit))
-            and (may_use_headroom or worker.entry.worker not in set_aside)
+            and (guaranteed or overdue or self.reserved.allows(worker, unit))
+            and (may_use_headroom or overdue or worker.entry.worker not in set_aside)
         ]
 
+    def _is_overdue(self, unit: Unit, wait_s: float) -> bool:
+        """Return whether a unit need not leave free workers to others any longer.
+
+        That is so after a while if the service is less than half in use, and for
+        long-running units however full it is.
+        """
+        if self._now - unit.waiting_since <= wait_s:
+            return False
+        service = unit.step.job.queue.service
+        if service not in self._underused:
+            pool = self._usable.get(service, EMPTY_POOL)
+            self._underused[service] = _is_underused(pool.workers)
+        return unit.step.step.long_running or self._underused[service]
+
     def _waits_for_healthy(self, unit: Unit, pool: WorkerPool) -> bool:
         """Return whether a unit waits for a worker without a recent failure.
 
@@ -286,6 +305,7 @@
         unit.last_run += 1
         unit.placements.clear()
         unit.alone_since = None
+        unit.reserved_since = None
         step.waiting.pop(unit.index, None)
         self._state.preemptions.release(unit)
         demand = step.step.reserved_resources
@@ -381,6 +401,17 @@
         return plan_preemption(unit, candidates, allows, self._now)
 
 
+def _is_underused(workers: Sequence[Worker]) -> bool:
+    """Return whether less than half of each resource is in use."""
+    total, free = Resources(), Resources()
+    for worker in workers:
+        total = total.plus(worker.entry.capacity)
+        free = free.plus(worker.free)
+    return all(
+        part >= whole * IDLE_SHARE for part, whole in zip(free, total, strict=True)
+    )
+
+
 def _runs_suspect(worker: Worker) -> bool:
     """Return whether a worker runs a unit that may crash it."""
     return any(run.unit and run.unit.isolated for run in worker.runs.values())
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -48,6 +48,7 @@
     :ivar adopted: all tasks of its latest run are known, although an earlier planner
         started it
     :ivar alone_since: monotonic time since which it waits for workers that run nothing
+    :ivar reserved_since: monotonic time since which workers are reserved for it
     :ivar retry_at: monotonic time before which it is not started again
     :ivar waiting_since: monotonic time since which it has been ready to run
     """
@@ -62,6 +63,7 @@
         "index",
         "last_run",
         "placements",
+        "reserved_since",
         "runs",
         "retry_at",
         "checkpoint",
@@ -85,6 +87,7 @@
         self.adopted = False
         self.retry_at = 0.0
         self.alone_since: float | None = None
+        self.reserved_since: float | None = None
         self.waiting_since = step.job.arrived_at
 
     @property
--- a/libs/planner/tests/test_bounded_waits.py
+++ b/libs/planner/tests/test_bounded_waits.py
@@ -12,11 +12,13 @@
     Resources,
     UnitProgress,
 )
+from bilberryhitch_planner.reservations import MAX_RESERVED_S
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
     entry,
     queue,
     request,
+    running,
     step,
 )
 
@@ -110,3 +112,90 @@
         for run in harness.planner.jobs[name].steps[0, 0].units[0].runs.values()
     ]
     assert len({run.worker for run in runs}) == 2
+
+
+def busy_harness(filler, count=4):
+    """Return a planner of ``count`` workers, each of which runs ``filler`` GPUs."""
+    harness = harness_of(count)
+    fill = step(count, gpu=filler, max_tasks_per_worker=1)
+    harness.add(request("filler", fill, route=BATCH))
+    assert "filler" in starts_within(harness, 1.0)
+    return harness
+
+
+def test_a_gang_that_cannot_start_beside_long_running_tasks_reserves_no_worker():
+    """Guards against a pool that is kept for ever for a gang for which the workers
+    never become free, as long-running tasks are expected to end.
+    """
+    harness = harness_of(8)
+    harness.add(request("lasting", step(8, long_running=True, max_tasks_per_worker=1)))
+    lasting = harness.start_all()
+    wide = step(2, gpu=7, long_running=True, max_tasks_per_worker=1)
+    harness.add(request("wide", wide))
+    lasting += harness.start_all()
+    gang = step(6, gpu=8, gang=True)
+    harness.add(request("gang", gang, route=queue("long", 1)))
+    harness.add(request("other", step(), route=BATCH))
+    harness.now = 2.0
+    for name in harness.planner.workers:
+        runs = [running(order, 100.0) for order in lasting if order.worker == name]
+        harness.send_heartbeat(name, runs)
+    assert [order.task.job for order in harness.plan_starts()] == ["other"]
+
+
+def test_a_reservation_for_a_gang_that_does_not_start_lapses():
+    """Guards against workers that are kept for a gang without a limit in time, as the
+    runs on them last far longer than estimated.
+    """
+    harness = busy_harness(5)
+    harness.add(request("fourth", step(gpu=3), route=BATCH))
+    assert "fourth" in starts_within(harness, 1.0)
+    gang = step(3, gpu=8, gang=True)
+    harness.add(request("gang", gang, route=queue("long", 1)))
+    slow = step(gpu=1)._replace(estimate_s=1_000.0)
+    harness.add(request("other", slow, route=BATCH))
+    assert starts_within(harness, 10.0) == {}
+    assert "other" in starts_within(harness, MAX_RESERVED_S)
+
+
+@pytest.mark.parametrize("long_running", [False, True], ids=["other", "lasting"])
+def test_a_reservation_does_not_keep_a_unit_off_an_underused_service(long_running):
+    """Guards against a job without a run for seconds, while there is room for it and
+    less than half of the service is in use.
+    """
+    harness = busy_harness(2)
+    gang = step(3, gpu=8, gang=True)
+    harness.add(request("gang", gang, route=queue("long", 1)))
+    wide = step(gpu=6)
+    harness.add(request("wide", wide, route=BATCH))
+    starts_within(harness, 0.5)
+    waiting = step(gpu=1, long_running=long_running)._replace(estimate_s=1_000.0)
+    harness.add(request("waiting", waiting, route=BATCH))
+    assert starts_within(harness, 1.5) == {}
+    assert "waiting" in starts_within(harness, 1.5)
+
+
+def test_a_long_running_task_is_no_backfill_for_reserved_workers():
+    """Guards against a gang that never starts, as a task that does not end is let in
+    on the workers that are emptied for it.
+    """
+    harness = busy_harness(6)
+    gang = step(3, gpu=8, gang=True)
+    harness.add(request("gang", gang, route=queue("long", 1)))
+    harness.add(request("fourth", step(gpu=2), route=BATCH))
+    harness.add(request("lasting", step(long_running=True), route=BATCH))
+    assert "lasting" not in starts_within(harness, 1.0)
+    assert "lasting" in starts_within(harness, 2.0)
+
+
+def test_headroom_for_urgent_work_does_not_keep_a_long_running_task_down():
+    """Guards against a long-running task that does not run, while the workers with
+    room for it are set aside for urgent work.
+    """
+    harness = harness_of(8)
+    fill = step(7, gpu=8, long_running=True)
+    harness.add(request("filler", fill, route=BATCH))
+    assert "filler" in starts_within(harness, 1.0)
+    harness.add(request("lasting", LASTING, route=BATCH))
+    assert "lasting" not in starts_within(harness, 1.0)
+    assert "lasting" in starts_within(harness, 2.0)
