Repeat stops that a worker's former life has answered

A start without an answer is stopped, and the stop bars it in the life that answered.

Change: on a restart, stops of runs that the worker never confirmed are sent again, and the task waits for the answer of the new life.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -208,6 +208,10 @@
         """
         lapsed = bool(worker.lapsed)
         missing = {key: run for key, run in worker.runs.items() if key not in own}
+        for run in missing.values():
+            # Only the life that answered a stop rejects a start that arrives later.
+            if run.state is RunState.STOPPING and not run.confirmed:
+                self._repeat_stop(run)
         ended = [run for run in missing.values() if run.settled_before(sent_at)]
         doubtful = {
             key: lost_task(worker, run, run.unit)
@@ -452,6 +456,13 @@
             worker.forecast = None
         self.orders.append(StopOrder(run.worker, run.task, run.number))
 
+    def _repeat_stop(self, run: Run) -> None:
+        """Order a stop again that has been answered."""
+        if run.settled_at is None:
+            return
+        run.settled_at = None
+        self.orders.append(StopOrder(run.worker, run.task, run.number))
+
     def stop_other_members(self, run: Run) -> None:
         """Stop the other members of a gang of which one member cannot run."""
         if run.unit is None:
--- a/libs/planner/tests/test_restarts.py
+++ b/libs/planner/tests/test_restarts.py
@@ -123,6 +123,28 @@
     assert [each.run for each in orders if each.task == order.task] == [2]
 
 
+def test_a_stop_that_the_former_life_answered_is_repeated():
+    """Guards against two runs of a task, as the new life does not know of a stop that
+    the former one answered, and carries out the start that came before it.
+    """
+    harness, _ = harness_with_former_life()
+    harness.add(request("new", step()))
+    (order,) = harness.plan_starts()
+    harness.answer_start(order, StartOutcome.UNKNOWN, certain=False)
+    stop = StopOrder("w0", order.task, order.run)
+    assert stop in harness.plan()
+    harness.answer_stop(stop)
+    harness.now = 6.0
+    harness.send_heartbeat("w0", born_ms=NEW)
+    assert stop in harness.plan()
+    (unit,) = harness.planner.jobs["new"].units
+    assert unit.runs
+    harness.answer_stop(stop)
+    harness.now = 6.1
+    harness.send_heartbeat("w0", born_ms=NEW)
+    assert not unit.runs
+
+
 def test_a_run_that_ended_in_the_former_life_is_not_listed_twice():
     """Guards against ends of a new life that are taken for those of the former one."""
     harness, old = harness_with_former_life()
