Acknowledge each end of a run once

Each heartbeat repeated the highest acknowledged number. If a worker restarts between two heartbeats, its new life gets the number of the former one and drops the ends up to it before it has listed them: the planner takes done runs for lost and starts them again.

Change: the number is sent until a heartbeat that carries it is answered, then no more.

test_a_new_life_gets_no_acknowledgement_of_the_former_one failed before ([0, 57, 57, 57, 57]), passes now; 324 tests of libs/planner and tests/path/test_platform_path.py pass.

--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -97,7 +97,6 @@
                 return
             except WorkerUnreachable as error:
                 self._note_unreachable(error)
-                # A restarted worker numbers its ended runs from 1 again.
                 self._acknowledged = 0
                 wait_s = 0.0
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -147,6 +146,9 @@
             wait_s=wait_s,
         )
         self._synced = True
+        # A restarted worker numbers its ended runs from 1 again and would drop those
+        # that it has not listed yet, so each number is acknowledged once.
+        self._acknowledged = 0
         return reply
 
     async def _acknowledge(self, reply: HeartbeatReply) -> bool:
--- a/libs/planner/tests/test_restarts.py
+++ b/libs/planner/tests/test_restarts.py
@@ -4,9 +4,20 @@
 orders travel on different connections and overtake each other.
 """
 
+import asyncio
+from types import SimpleNamespace
+
 import pytest
 from bilberryhitch_jobs import CrashCount
-from bilberryhitch_planner import EndKind, StartOutcome, StopOrder
+from bilberryhitch_planner import (
+    EndKind,
+    HeartbeatReply,
+    LeaderLease,
+    StartOutcome,
+    StopOrder,
+)
+from bilberryhitch_planner.worker_session import WorkerSession
+from bilberryhitch_testing import run_virtual
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
     ended,
@@ -157,3 +168,48 @@
     harness.send_heartbeat("w0", ended=[ended(again, sequence=1)], born_ms=NEW)
     (unit,) = harness.planner.jobs["old"].units
     assert unit.done
+
+
+class ScriptedCalls:
+    """Worker calls whose heartbeats get the given replies, one after the other."""
+
+    def __init__(self, *replies):
+        self.acknowledged = []
+        self._replies = list(replies)
+
+    async def hold(self, worker, *, token, acknowledged, lease_until_s, wait_s):
+        self.acknowledged.append(acknowledged)
+        await asyncio.sleep(0.01)
+        if not self._replies:
+            await asyncio.Event().wait()
+        return self._replies.pop(0)
+
+
+def session_of(harness, calls):
+    async def flush(_timeout_s):
+        return True
+
+    writer = SimpleNamespace(worker_lease_limit=100.0, flush=flush)
+    lease = LeaderLease("a/1", 1, 0.0, 0.0)
+    return WorkerSession("w0", harness.planner, writer, lease, calls, lambda: None)
+
+
+def test_a_new_life_gets_no_acknowledgement_of_the_former_one():
+    """Guards against ends of a new life that it drops before it has listed them, as
+    their numbers were acknowledged to the former life: done work is done again.
+    """
+
+    async def run_scenario():
+        harness, old = harness_with_former_life()
+        calls = ScriptedCalls(
+            HeartbeatReply(6.0, FORMER, (), (ended(old, sequence=57),)),
+            HeartbeatReply(6.1, FORMER, (), ()),
+            HeartbeatReply(0.5, NEW, (), ()),
+            HeartbeatReply(0.6, NEW, (), ()),
+        )
+        task = asyncio.create_task(session_of(harness, calls).run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert calls.acknowledged == [0, 57, 0, 0, 0]
+
+    run_virtual(run_scenario())
