Let only newer proof of its end remove a worker

An answer 421 or a list of machines, which may be a second old, removed a worker and all its runs at the moment it arrived, although the worker had answered a start since the request: its next life's runs were started again elsewhere.

Change: remove_ended_worker takes the time to which the proof dates back. A worker that has answered since, or got a start that may have been carried out, stays, and its next heartbeat tells. A session that goes on with a worker that was removed and registered again gives no lease before it knows the new clock.

--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -240,16 +240,19 @@
         """
         while True:
             await asyncio.sleep(MACHINE_CHECK_PERIOD_S)
-            absent = await self._absent(self._silent_workers(clock.steady_s()))
+            read_at = clock.steady_s()
+            absent = await self._absent(self._silent_workers(read_at))
             if absent:
                 # A list is read page by page while it changes, so a machine can be
                 # missing from one although it is up.
                 await asyncio.sleep(MACHINE_CONFIRMATION_PAUSE_S)
                 absent &= await self._absent(self._silent_workers(clock.steady_s()))
             for name in sorted(absent):
-                now = clock.steady_s()
                 self.planner.remove_ended_worker(
-                    name, now=now, unix_s=clock.unix.now_s()
+                    name,
+                    now=clock.steady_s(),
+                    unix_s=clock.unix.now_s(),
+                    known_at=read_at - MACHINE_LIST_MAX_AGE_S,
                 )
                 self._changed()
 
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -227,11 +227,22 @@
         if not worker.runs and worker.synced:
             del self.workers[name]
 
-    def remove_ended_worker(self, name: str, *, now: float, unix_s: float) -> None:
-        """Release all runs of an incarnation that has certainly ended."""
-        worker = self.workers.pop(name, None)
-        if worker is None:
+    def remove_ended_worker(
+        self, name: str, *, now: float, unix_s: float, known_at: float | None = None
+    ) -> None:
+        """Release all runs of an incarnation that has ended.
+
+        A worker that has answered or got an order since it was known to have ended may
+        have started again under its identifier. It stays, and shows by its next list
+        what it runs.
+
+        :param known_at: monotonic time to which the knowledge dates back; by default
+            now
+        """
+        worker = self.workers.get(name)
+        if worker is None or worker.active_since(now if known_at is None else known_at):
             return
+        del self.workers[name]
         announced = self._end_announced(worker)
         log(
             events.WORKER_GONE,
@@ -305,6 +316,7 @@
         if worker is None or run is None:
             return
         if outcome is StartOutcome.STARTED:
+            worker.heard_at = now
             run.settled_at = now
             run.confirmed = True
             if run.state is RunState.ORDERED:
@@ -351,8 +363,10 @@
         """Apply the result of a stop order."""
         worker = self.workers.get(order.worker)
         run = worker.runs.get((order.task, order.run)) if worker else None
-        if run is not None and outcome is StopOutcome.STOPPED:
-            run.settled_at = now
+        if worker is not None and outcome is StopOutcome.STOPPED:
+            worker.heard_at = now
+            if run is not None:
+                run.settled_at = now
 
     def apply_advice(
         self, request: AdviceRequest, advice: Advice | None, *, now: float
--- a/libs/planner/src/bilberryhitch_planner/runs.py
+++ b/libs/planner/src/bilberryhitch_planner/runs.py
@@ -34,6 +34,8 @@
     :ivar cpu_percent_known: this planner started the run or gave that order
     :ivar throttled_at: monotonic time of the last throttle order
     :ivar ordered_at: monotonic time at which it was ordered or adopted
+    :ivar sent_at: monotonic time at which a start order was last sent that may have
+        been carried out
     :ivar settled_at: monotonic time of the response to the last order. A later
         heartbeat reply without the run proves that it has ended. None while the run
         may still appear.
@@ -56,6 +58,7 @@
         "percent",
         "rate",
         "checkpoint",
+        "sent_at",
         "settled_at",
         "state",
         "task",
@@ -86,6 +89,7 @@
         self.cpu_percent_known = True
         self.throttled_at = float("-inf")
         self.ordered_at = now
+        self.sent_at = now
         self.advanced_at = now
         self.settled_at: float | None = None
         self.confirmed = False
--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -23,6 +23,7 @@
 from .state_writer import StateWriter
 from .throttling import shares_cpu
 from .worker_calls import WorkerCalls
+from .workers import Worker
 
 # Lease of the runs on a worker. It is the longest that the platform grants, so that
 # runs survive network partitions of several seconds.
@@ -72,7 +73,8 @@
         self._on_change = on_change
         self._acknowledged = 0
         self._unreachable = False
-        self._synced = False
+        # The worker, as the planner knows it, that has answered a heartbeat.
+        self._synced: Worker | None = None
 
     @property
     def unreachable(self) -> bool:
@@ -90,11 +92,12 @@
             try:
                 reply = await self._send_heartbeat(sent_at, wait_s)
             except WorkerGone:
-                self._planner.remove_ended_worker(
-                    self._name, now=clock.steady_s(), unix_s=clock.unix.now_s()
-                )
-                self._on_change()
-                return
+                self._remove_worker(known_at=sent_at)
+                if self._name not in self._planner.workers:
+                    return
+                wait_s = 0.0
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
             except WorkerUnreachable as error:
                 self._note_unreachable(error)
                 self._acknowledged = 0
@@ -136,7 +139,9 @@
         lease = None
         # A renewal without a response may still have taken effect. An unreachable
         # worker gets no further renewal, so that its lease certainly expires.
-        if self._synced and not self._unreachable and limit > sent_at:
+        # Without an answer its clock is not known.
+        synced = worker is self._synced
+        if synced and not self._unreachable and limit > sent_at:
             lease = worker.lease_deadline(limit, sent_at)
         reply = await self._calls.hold(
             worker.entry,
@@ -145,7 +150,7 @@
             lease_until_s=lease,
             wait_s=wait_s,
         )
-        self._synced = True
+        self._synced = worker
         # A restarted worker numbers its ended runs from 1 again and would drop those
         # that it has not listed yet, so each number is acknowledged once.
         self._acknowledged = 0
@@ -186,16 +191,17 @@
                 raise WorkerFenced(self._name)
             if outcome is StartOutcome.UNKNOWN:
                 certain = False
+                run.sent_at = now
             elif outcome is not StartOutcome.NOT_SENT or self._unreachable:
                 break
-        now = clock.steady_s()
         if outcome is StartOutcome.GONE:
-            self._planner.remove_ended_worker(
-                self._name, now=now, unix_s=clock.unix.now_s()
-            )
-            return
+            self._remove_worker(known_at=now)
         self._planner.apply_start_outcome(
-            order, outcome, certain=certain, now=now, unix_s=clock.unix.now_s()
+            order,
+            outcome,
+            certain=certain,
+            now=clock.steady_s(),
+            unix_s=clock.unix.now_s(),
         )
 
     async def _send_stop(self, order: StopOrder) -> None:
@@ -203,15 +209,13 @@
             worker = self._planner.workers.get(self._name)
             if worker is None or (order.task, order.run) not in worker.runs:
                 return
+            sent_at = clock.steady_s()
             outcome = await self._calls.stop_run(worker.entry, order, token=self._token)
             now = clock.steady_s()
             if outcome is StopOutcome.FENCED:
                 raise WorkerFenced(self._name)
             if outcome is StopOutcome.GONE:
-                self._planner.remove_ended_worker(
-                    self._name, now=now, unix_s=clock.unix.now_s()
-                )
-                return
+                self._remove_worker(known_at=sent_at)
             if outcome is StopOutcome.STOPPED:
                 self._planner.apply_stop_outcome(order, outcome, now=now)
                 return
@@ -232,6 +236,19 @@
             taken=taken,
         )
 
+    def _remove_worker(self, known_at: float) -> None:
+        """Remove the worker, at whose address another incarnation has answered.
+
+        :param known_at: monotonic time at which the request for that was sent
+        """
+        self._planner.remove_ended_worker(
+            self._name,
+            now=clock.steady_s(),
+            unix_s=clock.unix.now_s(),
+            known_at=known_at,
+        )
+        self._on_change()
+
     def _note_unreachable(self, error: WorkerUnreachable) -> None:
         if not self._unreachable:
             self._unreachable = True
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -39,6 +39,7 @@
     :ivar free: unallocated capacity
     :ivar lease_until: time after which nothing can run there
     :ivar answered_at: time of the last heartbeat reply
+    :ivar heard_at: time of its last answer of any kind
     :ivar checked_at: time of the heartbeat reply for which stalled runs were looked for
     :ivar discovered_at: time at which this planner learned of it
     :ivar paused_until: time until which it gets no new runs
@@ -61,6 +62,7 @@
         self.free = entry.capacity
         self.lease_until = now
         self.answered_at = now
+        self.heard_at = float("-inf")
         self.checked_at = now
         self.discovered_at = now
         self.paused_until = 0.0
@@ -90,6 +92,12 @@
             and now >= self.paused_until
         )
 
+    def active_since(self, time: float) -> bool:
+        """Return whether it has answered after a time, or may have started a run."""
+        return self.heard_at > time or any(
+            run.sent_at > time for run in self.runs.values()
+        )
+
     def suspect(self, now: float) -> bool:
         """Return whether a run failed on the worker a short time ago."""
         return self.failures > 0 and now - self.failed_at < SUSPECT_S
@@ -132,7 +140,7 @@
     def set_clock(self, clock_s: float, now: float) -> None:
         """Update the clock offset from a reply that has just arrived."""
         self._clock_offset = clock_s - now
-        self.answered_at = now
+        self.answered_at = self.heard_at = now
 
     def lease_deadline(self, until: float, now: float) -> float:
         """Return a lease's end on the worker's clock and record when it has expired.
--- a/libs/planner/tests/test_restarts.py
+++ b/libs/planner/tests/test_restarts.py
@@ -170,6 +170,52 @@
     assert unit.done
 
 
+def started_run():
+    """Return a planner, and the order of a start at 5.2 s, answered at 5.4 s."""
+    harness, _ = harness_with_former_life()
+    harness.now = 5.2
+    harness.add(request("new", step()))
+    (order,) = harness.plan_starts()
+    harness.now = 5.4
+    harness.answer_start(order)
+    return harness, order
+
+
+@pytest.mark.parametrize(
+    ("known_at", "removed"), [(5.0, False), (5.3, False), (6, True)]
+)
+def test_proof_of_an_end_that_is_older_than_the_last_answer_removes_no_worker(
+    known_at, removed
+):
+    """Guards against two runs of a task, as an answer of another incarnation or a list
+    of machines from before the worker's restart arrives after a start there.
+    """
+    harness, order = started_run()
+    harness.now = 7.0
+    harness.planner.remove_ended_worker(
+        order.worker, now=harness.now, unix_s=0.0, known_at=known_at
+    )
+    (unit,) = harness.planner.jobs["new"].units
+    assert bool(unit.runs) is not removed
+
+
+def test_an_order_without_an_answer_outlasts_older_proof_of_an_end():
+    """Guards against two runs of a task whose start is repeated to a worker that is
+    removed meanwhile, and carried out by its next life.
+    """
+    harness, _ = harness_with_former_life()
+    harness.add(request("new", step()))
+    (order,) = harness.plan_starts()
+    run = harness.planner.workers["w0"].runs[order.task, order.run]
+    run.sent_at = 6.0
+    harness.now = 6.5
+    for known_at, kept in ((5.5, True), (6.2, False)):
+        harness.planner.remove_ended_worker(
+            "w0", now=harness.now, unix_s=0.0, known_at=known_at
+        )
+        assert ("w0" in harness.planner.workers) is kept
+
+
 class ScriptedCalls:
     """Worker calls whose heartbeats get the given replies, one after the other."""
 
@@ -189,7 +235,7 @@
     async def flush(_timeout_s):
         return True
 
-    writer = SimpleNamespace(worker_lease_limit=100.0, flush=flush)
+    writer = SimpleNamespace(worker_lease_limit=float("inf"), flush=flush)
     lease = LeaderLease("a/1", 1, 0.0, 0.0)
     return WorkerSession("w0", harness.planner, writer, lease, calls, lambda: None)
 
@@ -213,3 +259,38 @@
         assert calls.acknowledged == [0, 57, 0, 0, 0]
 
     run_virtual(run_scenario())
+
+
+def test_a_worker_that_was_removed_and_is_back_gets_no_lease_on_an_unknown_clock():
+    """Guards against runs that outlive their lease as the planner knows it: a session
+    goes on with a worker that was removed and registered again.
+    """
+
+    async def run_scenario():
+        harness, _ = harness_with_former_life()
+        leases = []
+
+        class Calls(ScriptedCalls):
+            async def hold(self, worker, *, lease_until_s, **options):
+                leases.append(lease_until_s)
+                return await super().hold(
+                    worker, lease_until_s=lease_until_s, **options
+                )
+
+        reply = HeartbeatReply(60.0, FORMER, (), ())
+        calls = Calls(reply, reply, reply, reply)
+        task = asyncio.create_task(session_of(harness, calls).run())
+        await asyncio.sleep(0.025)
+        del harness.planner.workers["w0"]
+        harness.planner.add_worker(entry("w0"), now=harness.now)
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert [lease is not None for lease in leases] == [
+            False,
+            True,
+            True,
+            False,
+            True,
+        ]
+
+    run_virtual(run_scenario())
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -145,7 +145,7 @@
         return True
 
 
-def upkeep(calls, writer, harness, failures=0):
+def upkeep(calls, writer, harness, failures=0, waves=None):
     left = iter([True] * failures)
 
     async def read(table, *, timeout_s):
@@ -159,7 +159,7 @@
         writer,
         calls,
         token=7,
-        waves=lambda: (wave("a", "b", "c"),),
+        waves=waves or (lambda: (wave("a", "b", "c"),)),
         encode_status=lambda number, done: RowWrite(
             "status", str(number), b"%d" % done
         ),
@@ -223,3 +223,34 @@
             await asyncio.wait_for(running, 5)
 
     run_virtual(run_scenario())
+
+
+def test_nothing_is_started_on_a_worker_whose_upkeep_order_has_no_answer():
+    """Guards against two runs of a task: the answer to the first order was lost, the
+    worker is back under its identifier, and the second order is answered as done, which
+    ends all that the planner knows there.
+    """
+
+    async def run_scenario():
+        harness, writer = PlannerHarness(entry("i-a")), ImmediateStateWriter()
+        harness.send_heartbeat("i-a", born_ms=1)
+        starts = []
+
+        class RestartingMachines(FakeMachines):
+            async def begin_upkeep(self, machine, wave, *, token):
+                if machine in self.taken_down:
+                    harness.now += 3.0
+                    harness.send_heartbeat("i-a", born_ms=2)
+                    harness.add(request("j", step()))
+                    starts.append(harness.start_all())
+                return await super().begin_upkeep(machine, wave, token=token)
+
+        calls = RestartingMachines("a", lost=1)
+        controller = upkeep(calls, writer, harness, waves=lambda: (wave("a"),))
+        running = asyncio.create_task(controller.run())
+        await asyncio.sleep(10)
+        running.cancel()
+        assert writer.rows["status", "1"] == b"1"
+        assert starts == [[]]
+
+    run_virtual(run_scenario())
