End the hold on workers that are freed for an urgent unit

A worker whose work is stopped for an urgent unit is held for that unit for 1.2 s, but only the unit's own next attempt looked at the time.

Change: others may use the worker after the time is over.

test_a_hold_for_a_unit_that_no_longer_fits_ends failed before (4 of 8 tasks started), passes now; 321 tests of libs/planner pass.

--- a/libs/planner/src/bilberryhitch_planner/preemption.py
+++ b/libs/planner/src/bilberryhitch_planner/preemption.py
@@ -47,9 +47,11 @@
             self._units[name] = unit
             self._until[name] = now + HOLD_TIMEOUT_S
 
-    def allows(self, worker: Worker, unit: Unit) -> bool:
+    def allows(self, worker: Worker, unit: Unit, now: float) -> bool:
         """Return whether a unit may use a worker."""
-        return self._units.get(worker.entry.worker, unit) is unit
+        name = worker.entry.worker
+        holder = self._units.get(name, unit)
+        return holder is unit or now >= self._until[name]
 
     def pending_for(self, unit: Unit, now: float) -> bool:
         """Return whether capacity for the unit is still expected to become free."""
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -191,7 +191,7 @@
             worker
             for worker in workers
             if not worker.exclusive
-            and allows(worker, unit)
+            and allows(worker, unit, self._now)
             and (guaranteed or overdue or self.reserved.allows(worker, unit))
             and (may_use_headroom or overdue or worker.entry.worker not in set_aside)
         ]
@@ -357,7 +357,7 @@
         ):
             return False
         candidates = [
-            each for each in workers if self._state.preemptions.allows(each, unit)
+            each for each in workers if self._state.preemptions.allows(each, unit, now)
         ]
         preemption = self._plan_reclaim(unit, candidates)
         if preemption is None:
--- a/libs/planner/tests/test_bounded_waits.py
+++ b/libs/planner/tests/test_bounded_waits.py
@@ -12,9 +12,12 @@
     Resources,
     UnitProgress,
 )
+from bilberryhitch_planner import EndKind
 from bilberryhitch_planner.reservations import MAX_RESERVED_S
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
+    configuration,
+    ended,
     entry,
     queue,
     request,
@@ -199,3 +202,31 @@
     harness.add(request("lasting", LASTING, route=BATCH))
     assert "lasting" not in starts_within(harness, 1.0)
     assert "lasting" in starts_within(harness, 2.0)
+
+
+def test_a_hold_for_a_unit_that_no_longer_fits_ends():
+    """Guards against workers that are held for good for an urgent unit whose account
+    lost its guarantee, and the workers the room for it, before they were free.
+    """
+    harness = harness_of(2, guaranteed=16)
+    batch = request("batch", step(2, gpu=8), route=BATCH, account="b")
+    harness.add(batch)
+    orders = harness.start_all()
+    harness.now = 1.0
+    harness.send_all_heartbeats()
+    harness.add(request("urgent", step(2, gpu=8)))
+    for _ in range(4):
+        harness.now += 0.1
+        harness.plan()
+    small = Resources(32_000, 64_000, 4)
+    for order in orders:
+        name = order.worker
+        harness.planner.add_worker(entry(name, capacity=small), now=harness.now)
+        harness.send_heartbeat(name, ended=[ended(order, EndKind.STOPPED)])
+    harness.planner.configure(configuration())
+    harness.planner.cancel_job("batch", unix_s=0.0)
+    starts_within(harness, 2.0)
+    harness.add(request("other", step(8), route=BATCH))
+    harness.now += ROUND_S
+    harness.send_all_heartbeats()
+    assert len(harness.start_all()) == 8
