Let work in again on machines of withdrawn waves

A worker on a machine that drains for a wave gets no new work. If the wave was withdrawn, or changed so that the machine is not in it any more, the worker stayed closed for as long as the planner led: nothing looked at the drains of waves that are not requested.

Change: drains end with the request for them.

test_a_machine_that_is_no_longer_to_go_down_gets_work_again: both cases failed before, both pass; 327 tests of libs/planner pass.

--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -1,7 +1,7 @@
 """Takes machines down for maintenance (upkeep) in waves requested by the operator."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -155,7 +155,8 @@
             now, or None if that is not allowed
         """
         free = self.wave.max_down - len(self._down(machines, now))
-        for name in [name for name in self.draining if name not in machines]:
+        wanted = self.wave.machines & machines.keys()
+        for name in [name for name in self.draining if name not in wanted]:
             del self.draining[name]
         waiting = self.wave.machines & machines.keys()
         waiting -= self.ordered.keys() | self._begun.keys() | self._excluded
@@ -234,6 +235,7 @@
         while True:
             await asyncio.sleep(POLL_PERIOD_S)
             waves = [wave for wave in self._waves() if wave.number not in self._done]
+            self._forget_withdrawn({wave.number for wave in waves})
             if not waves:
                 continue
             try:
@@ -250,6 +252,19 @@
             for wave in waves:
                 await self._advance(wave, records, machines)
 
+    def _forget_withdrawn(self, requested: Container[int]) -> None:
+        """Let work in again on the machines that drained for withdrawn waves."""
+        withdrawn = [
+            wave_state
+            for number, wave_state in self._wave_states.items()
+            if number not in requested and wave_state.draining
+        ]
+        for wave_state in withdrawn:
+            wave_state.draining.clear()
+        if withdrawn and not any(each.draining for each in self._wave_states.values()):
+            self._planner.cordoned = frozenset()
+            self._on_change()
+
     async def _advance(
         self,
         wave: Wave,
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -254,3 +254,29 @@
         assert starts == [[]]
 
     run_virtual(run_scenario())
+
+
+@pytest.mark.parametrize("changed", [(), (wave("b"),)], ids=["withdrawn", "reduced"])
+def test_a_machine_that_is_no_longer_to_go_down_gets_work_again(changed):
+    """Guards against workers that get no work for as long as the planner leads, as the
+    wave for which they drained was withdrawn or no longer has their machine.
+    """
+
+    async def run_scenario():
+        harness, writer = PlannerHarness(entry("i-a")), ImmediateStateWriter()
+        harness.send_heartbeat("i-a")
+        harness.add(request("j", step()))
+        harness.start_all()
+        requested = [(wave("a"),)]
+        controller = upkeep(
+            FakeMachines("ab"), writer, harness, waves=lambda: requested[-1]
+        )
+        running = asyncio.create_task(controller.run())
+        await asyncio.sleep(1.5)
+        assert harness.planner.cordoned == {"i-a"}
+        requested.append(changed)
+        await asyncio.sleep(1.5)
+        running.cancel()
+        assert "i-a" not in harness.planner.cordoned
+
+    run_virtual(run_scenario())
