Forget failures of a worker after half a minute

A worker is quarantined for longer with each failed run in a row, up to 8 s, and only a run that ends well starts the count anew. Long-running tasks never end well, so a worker that runs only such was closed for 8 s after each failure, however long it had worked between.

Change: failures that are more than 30 s apart are not consecutive.

--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -25,6 +25,9 @@
 # First quarantine of a failing worker; doubled with each further failure.
 QUARANTINE_S = 2.0
 QUARANTINE_MAX_S = 8.0
+# Failures that are further apart than this are not consecutive. Long-running tasks
+# never end well, so nothing else resets the count of a worker that runs only such.
+FAILURE_MEMORY_S = 30.0
 # A worker that refuses a start is unhealthy for seconds rather than milliseconds.
 REFUSAL_PAUSE_S = 0.5
 
@@ -153,6 +156,8 @@
 
     def record_failure(self, now: float) -> None:
         """Count a failed run; quarantine the worker after several in a row."""
+        if now - self.failed_at > FAILURE_MEMORY_S:
+            self.failures = 0
         self.failures += 1
         self.failed_at = now
         over = self.failures - QUARANTINE_FAILURES
