Let work leave the rack of its data if that rack stays full

A gang that runs faster in one rack, or in the one with its data, waited for it without an end: with long-running tasks on it, for ever, though most of the service was free. A long-running task did the same unless most of the cores were free.

Change: after 10 s, 2 s for long-running ones, a gang uses any racks if less than half of the service is in use, a long-running one however full it is. A long-running task leaves the rack of its data after 1.5 s.

--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -40,6 +40,8 @@
 # How long reservations and headroom keep a unit off free workers, if less than half of
 # the service is in use.
 MAX_WAIT_S = 2.0
+# The same for a gang that would run faster in one rack, or in the one with its data.
+LOCALITY_WAIT_S = 10.0
 EMPTY_POOL = WorkerPool(())
 
 
@@ -283,10 +285,11 @@
                 if with_suspects or not worker.suspect(self._now)
             )
 
-        groups = pool.locality_groups(unit.step.step, workers)
-        return place_gang(
-            unit, workers, groups, free_gpus, across_racks=unit.across_racks
-        )
+        step = unit.step.step
+        groups = pool.locality_groups(step, workers)
+        wait_s = MAX_WAIT_S if step.long_running else LOCALITY_WAIT_S
+        across_racks = unit.across_racks or self._is_overdue(unit, wait_s)
+        return place_gang(unit, workers, groups, free_gpus, across_racks=across_racks)
 
     def _remote_data_allowed(
         self, step: StepOccurrence, workers: Sequence[Worker]
@@ -298,7 +301,7 @@
         waiting_since = min(unit.waiting_since for unit in step.waiting.values())
         if self._now - waiting_since < REMOTE_DATA_AFTER_S:
             return False
-        return _mostly_idle(workers)
+        return step.step.long_running or _mostly_idle(workers)
 
     def _start(self, unit: Unit, members: dict[int, Worker]) -> None:
         step, job, now = unit.step, unit.step.job, self._now
--- a/libs/planner/tests/test_bounded_waits.py
+++ b/libs/planner/tests/test_bounded_waits.py
@@ -230,3 +230,63 @@
     harness.now += ROUND_S
     harness.send_all_heartbeats()
     assert len(harness.start_all()) == 8
+
+
+def test_a_long_running_task_leaves_the_rack_of_its_data_in_a_busy_pool():
+    """Guards against a long-running task that stays down, as the rack with its data is
+    full for good.
+    """
+    harness = racks_with_full_first(gpu=6)
+    task = step(long_running=True, data_rack="r1")
+    harness.add(request("lasting", task, route=BATCH))
+    assert "lasting" in starts_within(harness, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("long_running", "limit_s"), [(True, 3.0), (False, 11.0)], ids=["lasting", "other"]
+)
+def test_a_gang_leaves_the_rack_of_its_data_in_an_underused_service(
+    long_running, limit_s
+):
+    """Guards against a gang that never starts, as the rack with its data is full for
+    good, while most of the other racks is free.
+    """
+    harness = racks_with_full_first(gpu=0)
+    gang = step(2, gpu=4, gang=True, data_rack="r1", long_running=long_running)
+    harness.add(request("gang", gang, route=BATCH))
+    assert "gang" in starts_within(harness, limit_s)
+
+
+def racks_with_full_first(gpu):
+    """Return a planner whose first rack is full of long-running tasks.
+
+    :param gpu: GPUs that such tasks use on each worker of the other three racks
+    """
+    harness = PlannerHarness(
+        *(entry(f"w{rack}{n}", f"r{rack}") for rack in range(1, 5) for n in range(2))
+    )
+    for name in harness.planner.workers:
+        harness.send_heartbeat(name)
+    full = step(2, gpu=8, long_running=True, required_label="r1")
+    harness.add(request("full", full))
+    assert "full" in starts_within(harness, 1.0)
+    if gpu:
+        others = step(6, gpu=gpu, long_running=True, max_tasks_per_worker=1)
+        others = others._replace(demand=Resources(28_000, 1_000, gpu))
+        harness.add(request("others", others))
+        assert "others" in starts_within(harness, 1.0)
+    return harness
+
+
+def test_a_worker_of_long_running_tasks_is_not_quarantined_for_old_failures():
+    """Guards against a worker that is closed for longer with each failure of a task
+    that lasts, however long it worked before: nothing ends well there.
+    """
+    harness = harness_of(1)
+    harness.add(request("lasting", LASTING))
+    (order,) = harness.start_all()
+    for number in range(1, 5):
+        harness.now += 100.0
+        failed = ended(order, EndKind.FAILED, sequence=number)
+        harness.send_heartbeat("w0", ended=[failed])
+        (order,) = harness.start_all()
