Move the losses of workers out of the planner's cluster state

WorkerLosses releases the runs of workers that ended, restarted or lapsed and counts the crashes; ClusterState keeps jobs, workers and the ends of runs.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -1,18 +1,9 @@
 """Jobs, workers and runs as the planner knows them, and the handling of ended runs."""
 
-from collections.abc import Container
-
 from bilberryhitch_jobs import JobState, TaskName
 from bilberryhitch_telemetry import events, log
 
 from .advice import Permissions
-from .crashes import (
-    InheritedPlacements,
-    LostTask,
-    count_crash,
-    is_proof,
-    lost_task,
-)
 from .preemption import PendingPreemptions
 from .reports import (
     EndedTask,
@@ -59,7 +50,6 @@
         self.ready: dict[tuple[str, int, int], StepOccurrence] = {}
         self.preemptions = PendingPreemptions()
         self.permissions: dict[tuple[str, int, int], Permissions] = {}
-        self._inherited = InheritedPlacements()
 
     def permissions_of(self, step: StepOccurrence) -> Permissions | None:
         """Return the permissions of a step; None if its queue needs none."""
@@ -152,183 +142,6 @@
                 unit, run.number, how, checkpoint or run.checkpoint, now, unix_s
             )
 
-    def inherit_placements(self, job: TrackedJob, unix_s: float) -> None:
-        """Remember where an earlier planner had placed the runs of a job."""
-        for worker in self._inherited.add(job, self.workers):
-            lost = [task for task, _ in self._inherited.take(worker)]
-            self._count_crash(worker, lost, unix_s, certain=True)
-
-    def settle_inherited(self, worker: Worker, started_ms: int, unix_s: float) -> None:
-        """Settle the inherited placements on a worker that lists its runs.
-
-        :param started_ms: Unix time of the worker's start in ms
-        """
-        name = worker.entry.worker
-        lost = [
-            task
-            for task, placement in self._inherited.take(name)
-            if placement.started_ms not in (0, started_ms)
-        ]
-        self._count_crash(name, lost, unix_s, certain=True)
-
-    def release_ended_worker(
-        self, worker: Worker, now: float, unix_s: float, *, announced: bool
-    ) -> None:
-        """Release all runs of a worker that has certainly ended.
-
-        :param announced: it was expected to end, so this was no crash
-        """
-        lapsed = bool(worker.lapsed)
-        lost = self._take_lost_tasks(worker)
-        if not announced:
-            proof = not lapsed and is_proof(worker, lost)
-            self._count_crash(
-                worker.entry.worker, lost, unix_s, certain=True, proof=proof
-            )
-        self._release_all(worker, now, unix_s)
-
-    def apply_restart(
-        self,
-        worker: Worker,
-        own: Container[tuple[TaskName, int]],
-        sent_at: float,
-        now: float,
-        unix_s: float,
-        *,
-        announced: bool,
-    ) -> None:
-        """Release the runs that ended with the former life of a restarted worker.
-
-        A run whose last order was answered after the request for the new life's list
-        may be in either life. A later list settles it.
-
-        :param own: runs that the new life lists, active or ended
-        :param sent_at: monotonic time at which the request for that list was sent
-        :param announced: the former life was expected to end, so this was no crash
-        """
-        lapsed = bool(worker.lapsed)
-        missing = {key: run for key, run in worker.runs.items() if key not in own}
-        for run in missing.values():
-            # Only the life that answered a stop rejects a start that arrives later.
-            if run.state is RunState.STOPPING and not run.confirmed:
-                self._repeat_stop(run)
-        ended = [run for run in missing.values() if run.settled_before(sent_at)]
-        doubtful = {
-            key: lost_task(worker, run, run.unit)
-            for key, run in missing.items()
-            if run.unit is not None and run not in ended
-        }
-        lost, worker.lapsed = worker.lapsed, []
-        lost += [lost_task(worker, run, run.unit) for run in ended if run.unit]
-        lost += [task for task, _ in self._inherited.take(worker.entry.worker)]
-        worker.doubtful = {}
-        if not announced:
-            proof = not lapsed and is_proof(worker, [*lost, *doubtful.values()])
-            worker.doubtful = {key: (task, proof) for key, task in doubtful.items()}
-            self._count_crash(
-                worker.entry.worker, lost, unix_s, certain=True, proof=proof
-            )
-        worker.last_end_sequence = 0
-        worker.record_failure(now)
-        for run in ended:
-            self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
-
-    def release_missing_runs(
-        self,
-        worker: Worker,
-        listed: Container[tuple[TaskName, int]],
-        sent_at: float,
-        now: float,
-        unix_s: float,
-    ) -> None:
-        """Release the runs that have ended, as the worker does not list them.
-
-        :param listed: active runs on the worker
-        :param sent_at: monotonic time at which the request for the list was sent
-        """
-        ended = [
-            (key, run)
-            for key, run in worker.runs.items()
-            if key not in listed and run.settled_before(sent_at)
-        ]
-        for key, run in ended:
-            if key in worker.doubtful:
-                task, proof = worker.doubtful[key]
-                self._count_crash(
-                    worker.entry.worker, [task], unix_s, certain=True, proof=proof
-                )
-            self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
-        worker.doubtful = {
-            key: doubt
-            for key, doubt in worker.doubtful.items()
-            if key in worker.runs and key not in listed
-        }
-
-    def release_lapsed_worker(
-        self, worker: Worker, now: float, unix_s: float, *, announced: bool
-    ) -> None:
-        """Release all runs of a worker whose lease has expired.
-
-        Whether it has crashed shows when it answers again. One that is not registered
-        any more may never do that.
-
-        :param announced: it was expected to end
-        """
-        lost = self._take_lost_tasks(worker)
-        if worker.registered:
-            worker.lapsed = lost
-        elif not announced:
-            self._count_crash(worker.entry.worker, lost, unix_s, certain=False)
-        self._release_all(worker, now, unix_s)
-
-    def _take_lost_tasks(self, worker: Worker) -> list[LostTask]:
-        """Return the tasks that may have had a run on a worker that has none now."""
-        lost, worker.lapsed = worker.lapsed, []
-        worker.doubtful = {}
-        lost += [
-            lost_task(worker, run, run.unit)
-            for run in worker.runs.values()
-            if run.unit is not None
-        ]
-        lost += [task for task, _ in self._inherited.take(worker.entry.worker)]
-        return lost
-
-    def _release_all(self, worker: Worker, now: float, unix_s: float) -> None:
-        for run in list(worker.runs.values()):
-            self.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
-
-    def _count_crash(
-        self,
-        worker: str,
-        lost: list[LostTask],
-        unix_s: float,
-        *,
-        certain: bool,
-        proof: bool = False,
-    ) -> None:
-        """Count the crash of a worker; give up the jobs whose tasks cause crashes."""
-        if not lost:
-            return
-        count_crash(lost, certain=certain, proof=proof)
-        log(
-            events.WORKER_CRASHED,
-            worker=worker,
-            certain=certain,
-            proof=proof,
-            tasks=[format_task(each.unit.task(each.task_index)) for each in lost],
-        )
-        for each in lost:
-            job = each.unit.step.job
-            self.dirty.add(job.request.job)
-            if each.unit.crashes_workers and not each.unit.done and not job.finished:
-                log(
-                    events.TASK_GIVEN_UP,
-                    request_id=job.request.job,
-                    task=format_task(each.unit.task(each.task_index)),
-                    **each.unit.crashes[each.task_index]._asdict(),
-                )
-                self.finish_job(job, JobState.FAILED, unix_s)
-
     def _apply_unit_end(
         self,
         unit: Unit,
@@ -456,7 +269,7 @@
             worker.forecast = None
         self.orders.append(StopOrder(run.worker, run.task, run.number))
 
-    def _repeat_stop(self, run: Run) -> None:
+    def repeat_stop(self, run: Run) -> None:
         """Order a stop again that has been answered."""
         if run.settled_at is None:
             return
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -39,6 +39,7 @@
 from .speeds import recover_speed
 from .throttling import throttle_orders
 from .units import StepOccurrence, TrackedJob
+from .worker_losses import WorkerLosses
 from .worker_pool import WorkerPool
 from .workers import Worker
 
@@ -74,6 +75,7 @@
         inherited_until: float,
     ) -> None:
         self._state = ClusterState()
+        self._losses = WorkerLosses(self._state)
         self.stored_roster: frozenset[str] = frozenset()
         self.cordoned: frozenset[str] = frozenset()
         self.evacuated: frozenset[str] = frozenset()
@@ -176,7 +178,7 @@
             return
         self._newest_revision = max(self._newest_revision, revision)
         self._state.queue_ready_steps(job, now)
-        self._state.inherit_placements(job, unix_s)
+        self._losses.inherit_placements(job, unix_s)
 
     def cancel_job(self, name: str, *, unix_s: float) -> None:
         """Cancel a job; a finished one is left unchanged."""
@@ -256,7 +258,7 @@
             if now - ended[0] < RESTART_MEMORY_S
         }
         self._recent_ends[worker.entry.address] = (now, worker.failures)
-        self._state.release_ended_worker(worker, now, unix_s, announced=announced)
+        self._losses.release_ended_worker(worker, now, unix_s, announced=announced)
 
     def apply_heartbeat(
         self,
@@ -279,7 +281,7 @@
         if worker.started_ms not in (0, started_ms):
             announced = self._end_announced(worker)
             own = listed | {(ended.task, ended.run) for ended in reply.ended}
-            self._state.apply_restart(
+            self._losses.apply_restart(
                 worker, own, sent_at, now, unix_s, announced=announced
             )
         worker.started_ms = started_ms
@@ -292,10 +294,10 @@
             self._state.apply_ended(worker, ended, now, unix_s)
         for running in reply.running:
             self._state.apply_running(worker, running, now)
-        self._state.settle_inherited(worker, started_ms, unix_s)
+        self._losses.settle_inherited(worker, started_ms, unix_s)
         self._state.orders += throttle_orders(worker, now)
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
-            self._state.release_missing_runs(worker, listed, sent_at, now, unix_s)
+            self._losses.release_missing_runs(worker, listed, sent_at, now, unix_s)
         worker.end_isolation(EARLY_S)
 
     def apply_start_outcome(
@@ -395,7 +397,7 @@
                     log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
                 worker.synced = worker.synced or not worker.registered
                 announced = self._end_announced(worker)
-                self._state.release_lapsed_worker(
+                self._losses.release_lapsed_worker(
                     worker, now, unix_s, announced=announced
                 )
                 if not worker.registered:
