--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,8 @@
 SETTLE_TIMEOUT_S = 45.0
 # Longer than the leader lease and every worker lease that depends on it (12 s).
 LONG_PAUSE_S = 14.0
+# Weight of restarts of workers among the kinds of faults.
+RESTART_WEIGHT = 3
 # While no host holds the lease, the planner is looked for again after this time.
 LEADER_POLL_S = 0.1
 
@@ -77,6 +79,7 @@
     :param seconds: time during which jobs are submitted and faults injected
     :param long_pause: also pause the planner's host once until all its leases have
         expired
+    :param restarts: also crash workers that are back soon under their identifiers
     :ivar faults: injected faults, in order
     :ivar violations: descriptions of broken guarantees
     :ivar accepted: identifiers of accepted jobs
@@ -84,7 +87,13 @@
     """
 
     def __init__(
-        self, folder: Path, seed: int, seconds: float, *, long_pause: bool = False
+        self,
+        folder: Path,
+        seed: int,
+        seconds: float,
+        *,
+        long_pause: bool = False,
+        restarts: bool = False,
     ) -> None:
         self.faults: list[str] = []
         self.violations: list[str] = []
@@ -94,7 +103,9 @@
         self._deployment = ProxiedDeployment(folder, work_s=0.8)
         self._seconds = seconds
         self._long_pause = long_pause
+        self._restarts = restarts
         self._pending: set[asyncio.Task[None]] = set()
+        self._restarting: set[str] = set()
 
     async def run(self) -> None:
         """Inject the faults, wait for the accepted jobs and check the guarantees."""
@@ -147,6 +158,8 @@
             self._drop_one_direction,
             self._delay,
         ]
+        if self._restarts:
+            kinds += [self._restart_worker] * RESTART_WEIGHT
         while time.monotonic() < until:
             await asyncio.sleep(self._rng.uniform(*FAULT_PERIOD_S))
             fault = self._rng.choice(kinds)
@@ -217,6 +230,15 @@
         await asyncio.sleep(seconds * 3)
         listener.silent = False
 
+    async def _restart_worker(self, seconds: float) -> None:
+        name = self._rng.choice(sorted(self._deployment.fleet.listeners))
+        if name in self._restarting:
+            return
+        self._record_fault(f"restart {name} {seconds / 4:.2f}")
+        self._restarting.add(name)
+        await self._deployment.fleet.restart(name, seconds / 4)
+        self._restarting.discard(name)
+
     async def _reset(self, _seconds: float) -> None:
         names = sorted(self._deployment.proxies)
         chosen = self._rng.sample(names, self._rng.randint(1, len(names)))
@@ -312,10 +334,12 @@
     return ".".join(str(part) for part in task)
 
 
-def run_seed(seed: int, seconds: float, *, long_pause: bool = False) -> Soak:
+def run_seed(
+    seed: int, seconds: float, *, long_pause: bool = False, restarts: bool = False
+) -> Soak:
     """Run a seed in a new folder, which is printed if a guarantee was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(folder, seed, seconds, long_pause=long_pause)
+    soak = Soak(folder, seed, seconds, long_pause=long_pause, restarts=restarts)
     asyncio.run(soak.run())
     if soak.violations:
         sys.stdout.write(f"seed {seed}: logs in {folder}\n")
@@ -332,11 +356,21 @@
         action="store_true",
         help="also pause the planner's host until all its leases have expired",
     )
+    parser.add_argument(
+        "--restarts",
+        action="store_true",
+        help="also crash workers that are back soon under their identifiers",
+    )
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     failed_seeds = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = run_seed(seed, arguments.seconds, long_pause=arguments.long_pause)
+        soak = run_seed(
+            seed,
+            arguments.seconds,
+            long_pause=arguments.long_pause,
+            restarts=arguments.restarts,
+        )
         failed_seeds += bool(soak.violations)
         verdict = "; ".join(soak.violations) or "ok"
         sys.stdout.write(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,3 +23,14 @@
     assert any(fault.startswith("pause planner") for fault in soak.faults)
     assert soak.accepted
     assert soak.violations == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_guarantees_hold_while_workers_restart_under_their_identifiers(seed):
+    """Guards against answers of a former life that are taken for those of the new one,
+    beside lost planners, delays and resets.
+    """
+    soak = run_seed(seed, seconds=8.0, restarts=True)
+    assert any(fault.startswith("restart") for fault in soak.faults)
+    assert soak.accepted
+    assert soak.violations == []
