--- a/libs/planner/tests/test_bounded_waits.py
+++ b/libs/planner/tests/test_bounded_waits.py
@@ -232,6 +232,27 @@
     assert len(harness.start_all()) == 8
 
 
+def racks_with_full_first(gpu):
+    """Return a planner whose first rack is full of long-running tasks.
+
+    :param gpu: GPUs that such tasks use on each worker of the other three racks
+    """
+    harness = PlannerHarness(
+        *(entry(f"w{rack}{n}", f"r{rack}") for rack in range(1, 5) for n in range(2))
+    )
+    for name in harness.planner.workers:
+        harness.send_heartbeat(name)
+    full = step(2, gpu=8, long_running=True, required_label="r1")
+    harness.add(request("full", full))
+    assert "full" in starts_within(harness, 1.0)
+    if gpu:
+        others = step(6, gpu=gpu, long_running=True, max_tasks_per_worker=1)
+        others = others._replace(demand=Resources(28_000, 1_000, gpu))
+        harness.add(request("others", others))
+        assert "others" in starts_within(harness, 1.0)
+    return harness
+
+
 def test_a_long_running_task_leaves_the_rack_of_its_data_in_a_busy_pool():
     """Guards against a long-running task that stays down, as the rack with its data is
     full for good.
@@ -257,27 +278,6 @@
     assert "gang" in starts_within(harness, limit_s)
 
 
-def racks_with_full_first(gpu):
-    """Return a planner whose first rack is full of long-running tasks.
-
-    :param gpu: GPUs that such tasks use on each worker of the other three racks
-    """
-    harness = PlannerHarness(
-        *(entry(f"w{rack}{n}", f"r{rack}") for rack in range(1, 5) for n in range(2))
-    )
-    for name in harness.planner.workers:
-        harness.send_heartbeat(name)
-    full = step(2, gpu=8, long_running=True, required_label="r1")
-    harness.add(request("full", full))
-    assert "full" in starts_within(harness, 1.0)
-    if gpu:
-        others = step(6, gpu=gpu, long_running=True, max_tasks_per_worker=1)
-        others = others._replace(demand=Resources(28_000, 1_000, gpu))
-        harness.add(request("others", others))
-        assert "others" in starts_within(harness, 1.0)
-    return harness
-
-
 def test_a_worker_of_long_running_tasks_is_not_quarantined_for_old_failures():
     """Guards against a worker that is closed for longer with each failure of a task
     that lasts, however long it worked before: nothing ends well there.
