Let long-running tasks use quarantined workers after two seconds

A worker that failed several times in a row, by crashes too, gets no work for up to 8 s. A long-running task stays down for as long if the worker is the only one with room, though the rule allows 3 s of calm, however full the service is.

Change: quarantine gives way to a long-running unit that has waited for 2 s. Workers that failed a short time ago are still the last choice.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -90,6 +90,7 @@
         self._recent_ends: dict[str, tuple[float, int]] = {}
         self._reservations: Reservations | None = None
         self._pools: dict[str, WorkerPool] = {}
+        self._quarantined: dict[str, list[Worker]] = {}
         self.advice_requests: list[AdviceRequest] = []
 
     @property
@@ -434,6 +435,7 @@
             self._state,
             self._guarantees,
             self._pools,
+            self._quarantined,
             previous=self._reservations,
             blocked=self.has_unsynced_workers and now < self._inherited_until,
             now=now,
@@ -451,10 +453,13 @@
         """Collect the workers that may get new runs, by service."""
         allowed = self.stored_roster - self.cordoned
         usable: dict[str, list[Worker]] = {}
+        self._quarantined = {}
         for name, worker in self.workers.items():
             evacuated = worker.entry.data_centre in self.evacuated
-            if name in allowed and not evacuated and worker.usable(now):
-                usable.setdefault(worker.entry.service, []).append(worker)
+            if name not in allowed or evacuated or not worker.sound(now):
+                continue
+            workers = usable if worker.usable(now) else self._quarantined
+            workers.setdefault(worker.entry.service, []).append(worker)
         known = self._pools
         self._pools = {
             service: pool
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -40,7 +40,8 @@
 # How long reservations and headroom keep a unit off free workers, if less than half of
 # the service is in use.
 MAX_WAIT_S = 2.0
-# The same for a gang that would run faster in one rack, or in the one with its data.
+# How long a gang waits for one rack, or for the one with its data, if less than half of
+# the service is in use.
 LOCALITY_WAIT_S = 10.0
 EMPTY_POOL = WorkerPool(())
 
@@ -51,6 +52,7 @@
     :param state: jobs, workers and runs; updated by the decisions
     :param guarantees: usage of each client account, counted for this round
     :param usable: workers that may get new runs, by service
+    :param quarantined: workers that failed too often a short time ago, by service
     :param previous: reservations of the previous round
     :param blocked: units that an earlier planner may have started must wait
     :param now: monotonic time in seconds
@@ -63,6 +65,7 @@
         state: ClusterState,
         guarantees: Guarantees,
         usable: Mapping[str, WorkerPool],
+        quarantined: Mapping[str, Sequence[Worker]],
         *,
         previous: Reservations | None,
         blocked: bool,
@@ -73,6 +76,7 @@
         self._state = state
         self._guarantees = guarantees
         self._usable = usable
+        self._quarantined = quarantined
         self._blocked = blocked
         self._now = now
         self._headroom = {
@@ -87,7 +91,7 @@
         work. If that is a gang, workers are reserved for it.
         """
         now = self._now
-        whole_pool = self._usable.get(step.job.queue.service, EMPTY_POOL)
+        whole_pool = self._pool_of(step)
         pool = whole_pool.for_step(step.step)
         permissions = self._state.permissions_of(step)
         if permissions is not None:
@@ -118,6 +122,22 @@
                     self.reserved.reserve(unit, pool.workers, whole_pool)
                 break
 
+    def _pool_of(self, step: StepOccurrence) -> WorkerPool:
+        """Return the workers that a step may use.
+
+        Quarantined ones are among them if a long-running unit waits for too long: they
+        may be sound, and the only ones with room.
+        """
+        service = step.job.queue.service
+        pool = self._usable.get(service, EMPTY_POOL)
+        quarantined = self._quarantined.get(service)
+        if quarantined is None or not step.step.long_running:
+            return pool
+        waiting_since = min(unit.waiting_since for unit in step.waiting.values())
+        if self._now - waiting_since <= MAX_WAIT_S:
+            return pool
+        return WorkerPool([*pool.workers, *quarantined])
+
     def _place_tasks(
         self,
         step: StepOccurrence,
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -45,7 +45,9 @@
     :ivar heard_at: time of its last answer of any kind
     :ivar checked_at: time of the heartbeat reply for which stalled runs were looked for
     :ivar discovered_at: time at which this planner learned of it
-    :ivar paused_until: time until which it gets no new runs
+    :ivar paused_until: time until which it gets no new runs after a refusal
+    :ivar quarantined_until: time until which it gets none after failures, unless a
+        long-running unit waits for too long
     :ivar last_end_sequence: sequence number of the last applied ended run
     :ivar speed: estimated speed, 1.0 for an average worker
     :ivar started_ms: Unix time of its start in ms; 0 if unknown
@@ -69,6 +71,7 @@
         self.checked_at = now
         self.discovered_at = now
         self.paused_until = 0.0
+        self.quarantined_until = 0.0
         self.last_end_sequence = 0
         self.speed = 1.0
         self.started_ms = 0
@@ -87,6 +90,10 @@
 
     def usable(self, now: float) -> bool:
         """Return whether the worker may get new runs."""
+        return self.sound(now) and now >= self.quarantined_until
+
+    def sound(self, now: float) -> bool:
+        """Return whether it may get new runs if its failures are left out."""
         return (
             self.registered
             and self.synced
@@ -163,7 +170,7 @@
         over = self.failures - QUARANTINE_FAILURES
         if over >= 0:
             pause = min(QUARANTINE_S * 2**over, QUARANTINE_MAX_S)
-            self.paused_until = max(self.paused_until, now + pause)
+            self.quarantined_until = max(self.quarantined_until, now + pause)
 
     def record_success(self) -> None:
         """Reset the failure count."""
