--- a/tests/adapter/test_slow_links.py
+++ b/tests/adapter/test_slow_links.py
@@ -17,7 +17,7 @@
 from bilberryhitch_jobs import TableWatcher, table_watcher
 from bilberryhitch_jobs.errors import StoreUnknown
 
-from tests.path.platform_deployment import free_port
+from tests.path.processes import free_ports
 
 # Each limit allows a pause of ten parts, and the whole response takes twice a limit.
 LIMIT_S = 0.5
@@ -154,7 +154,7 @@
 
 async def watch_through_relay(client):
     """Watch through a relay that calls the store with ``client``."""
-    address = f"127.0.0.1:{free_port()}"
+    address = f"127.0.0.1:{free_ports(1)[0]}"
     store_relay = StoreRelay(client, address)
     await store_relay.start()
     relayed = StoreClient(lambda: address, fail_fast=False)
--- a/tests/path/platform_deployment.py
+++ b/tests/path/platform_deployment.py
@@ -6,7 +6,6 @@
 import asyncio
 import os
 import random
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -18,6 +17,8 @@
 from bilberryhitch_jobs import Resources
 from bilberryhitch_standins.simulated_fleet import TaskProfile, WorkerParameters
 
+from tests.path.processes import free_ports
+
 WORKER_PARAMETERS = WorkerParameters(stop_duration_s=0.1)
 CALLER_HEADERS = {"Authorization": "Token key-a", "Host": "jobs.example"}
 CONFIGURATION = {
@@ -43,12 +44,6 @@
 }
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Deployment:
     """A store, workers and entry host processes.
 
@@ -90,7 +85,7 @@
         return self.store.listener.address
 
     def launch(self, name):
-        ports = self.ports.setdefault(name, tuple(free_port() for _ in range(4)))
+        ports = self.ports.setdefault(name, tuple(free_ports(4)))
         front, ready, metrics, relay = ports
         settings = {
             "node-name": name,
--- a/tests/path/processes.py
+++ b/tests/path/processes.py
@@ -1,6 +1,7 @@
 """Processes of the command-line program, for the tests of the whole path."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -9,6 +10,11 @@
 from collections.abc import Sequence
 
 START_TIMEOUT_S = 60.0
+# The kernel gives ports from 32768 on to outgoing connections.
+PORTS = (15_000, 32_000)
+# Seeds of the tests do not decide ports, which other processes share.
+_random = random.SystemRandom()
+_given: set[int] = set()
 
 
 class Process:
@@ -80,11 +86,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that the kernel chose and that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return TCP ports that the kernel lets a process bind at present.
+
+    They lie below those that it gives to outgoing connections, one of which could take
+    a port before the process listens on it, or between two of its lives.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _random.randrange(*PORTS)
+        if port not in _given and _can_be_bound(port):
+            _given.add(port)
+            ports.append(port)
     return ports
+
+
+def _can_be_bound(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
