--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -211,12 +211,13 @@
         # A unit within its guarantee may use workers reserved for other gangs.
         guaranteed = urgent and self._guarantees.covers(unit)
         overdue = self._is_overdue(unit, MAX_WAIT_S)
-        shares = unit.step.step.long_running and self._is_overdue(unit, SHARING_WAIT_S)
+        lasting = unit.step.step.long_running
+        may_share = lasting and self._is_overdue(unit, SHARING_WAIT_S)
         allows = self._state.preemptions.allows
         return [
             worker
             for worker in workers
-            if (shares or not worker.exclusive)
+            if (may_share or not worker.exclusive)
             and allows(worker, unit, self._now)
             and (guaranteed or overdue or self.reserved.allows(worker, unit))
             and (may_use_headroom or overdue or worker.entry.worker not in set_aside)
