--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from bilberryhitch_jobs import JobState, Resources
+from bilberryhitch_jobs import JobState
 from bilberryhitch_telemetry import events, log
 
 from .cluster_state import ClusterState, format_task
@@ -14,6 +14,7 @@
     place_task,
     workers_with_room,
 )
+from .pool_usage import is_underused, mostly_idle, runs_suspect
 from .preemption import PreemptionPlan, plan_preemption
 from .reports import AdviceRequest, StartOrder
 from .reservations import Reservations
@@ -28,10 +29,8 @@
 PREEMPT_AFTER_S = 0.05
 # How long the last attempt of a unit waits for a worker without a recent failure.
 SUSPECT_WAIT_S = 1.5
-# Wait before a task may run on another rack than its data, and the share of CPU that
-# must be idle for that.
+# Wait before a task may run on another rack than its data in a mostly idle pool.
 REMOTE_DATA_AFTER_S = 1.5
-IDLE_SHARE = 0.5
 # How long a unit that may crash workers waits for one that runs nothing: in a pool that
 # is mostly idle, or if it is long-running.
 ISOLATION_WAIT_S = 2.0
@@ -234,7 +233,7 @@
         service = unit.step.job.queue.service
         if service not in self._underused:
             pool = self._usable.get(service, EMPTY_POOL)
-            self._underused[service] = _is_underused(pool.workers)
+            self._underused[service] = is_underused(pool.workers)
         return unit.step.step.long_running or self._underused[service]
 
     def _waits_for_healthy(self, unit: Unit, pool: WorkerPool) -> bool:
@@ -267,11 +266,11 @@
         idle = [worker for worker in allowed if not worker.runs]
         members = self._place_among(unit, idle, pool, any_rack)
         waited_s = self._now - unit.alone_since
-        short = unit.step.step.long_running or _mostly_idle(pool.workers)
+        short = unit.step.step.long_running or mostly_idle(pool.workers)
         limit_s = ISOLATION_WAIT_S if short else BUSY_ISOLATION_WAIT_S
         if members is not None or waited_s <= limit_s:
             return members
-        apart = [worker for worker in allowed if not _runs_suspect(worker)]
+        apart = [worker for worker in allowed if not runs_suspect(worker)]
         return self._place_among(unit, apart, pool, any_rack) or self._place_among(
             unit, allowed, pool, any_rack
         )
@@ -326,7 +325,7 @@
         waiting_since = min(unit.waiting_since for unit in step.waiting.values())
         if self._now - waiting_since < REMOTE_DATA_AFTER_S:
             return False
-        return step.step.long_running or _mostly_idle(workers)
+        return step.step.long_running or mostly_idle(workers)
 
     def _start(self, unit: Unit, members: dict[int, Worker]) -> None:
         step, job, now = unit.step, unit.step.job, self._now
@@ -427,25 +426,3 @@
         if plan is not None and not plan.across_racks:
             return plan
         return plan_preemption(unit, candidates, allows, self._now)
-
-
-def _is_underused(workers: Sequence[Worker]) -> bool:
-    """Return whether less than half of each resource is in use."""
-    total, free = Resources(), Resources()
-    for worker in workers:
-        total = total.plus(worker.entry.capacity)
-        free = free.plus(worker.free)
-    return all(
-        part >= whole * IDLE_SHARE for part, whole in zip(free, total, strict=True)
-    )
-
-
-def _runs_suspect(worker: Worker) -> bool:
-    """Return whether a worker runs a unit that may crash it."""
-    return any(run.unit and run.unit.isolated for run in worker.runs.values())
-
-
-def _mostly_idle(workers: Sequence[Worker]) -> bool:
-    """Return whether more than ``IDLE_SHARE`` of the processor cores are free."""
-    total = sum(worker.entry.capacity.cpu for worker in workers)
-    return sum(worker.free.cpu for worker in workers) > total * IDLE_SHARE
