Log why a run without a listed end is held for over, and how a term begins

Each of the five ways to release a run that no worker has listed as ended now leaves run_released (4225) with its proof and the ages of what it rests on; worker_restarted (3212) tells what a new life's list settled; worker_gone and worker_lapsed carry their source and ages; unit_started tells whether the job counts as inherited while workers are unknown; run_adopted names the other runs; a term logs what it replaced, or that the lease row named the process already (4226).

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -242,6 +242,11 @@
             run=running.run,
             worker=worker.entry.worker,
             needed=needed,
+            last_run=unit.last_run if unit else None,
+            other_workers=[other.worker for other in unit.runs.values()]
+            if unit
+            else [],
+            started_ms=worker.started_ms,
         )
         if not needed or unit is None or job is None:
             self.order_stop(run)
--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -162,6 +162,12 @@
         lease = decode_lease(self._row)
         if self._row is not None and lease.holder == self._holder:
             # An earlier acquisition succeeded, but its response was lost.
+            log(
+                events.PLANNER_LEASE_FOUND,
+                former_token=lease.token,
+                renewal=lease.renewal,
+                revision=self._row.revision,
+            )
             return self._leader_lease(self._row.revision)
         if not lease.holder:
             changed = self._precedence_s > 0 and await self._give_precedence()
--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -253,6 +253,7 @@
                     now=clock.steady_s(),
                     unix_s=clock.unix.now_s(),
                     known_at=read_at - MACHINE_LIST_MAX_AGE_S,
+                    source="list of machines",
                 )
                 self._changed()
 
@@ -329,7 +330,13 @@
     def _load_jobs(self, rows: tuple[StoreRow, ...], revision: int) -> None:
         for row in rows:
             apply_row(self._apply_job_row, row)
-        log(events.JOBS_LOADED, jobs=len(self.planner.jobs), revision=revision)
+        log(
+            events.JOBS_LOADED,
+            jobs=len(self.planner.jobs),
+            revision=revision,
+            inherited_until_revision=self.planner.inherited_revision,
+            inherited_workers=len(self._inherited_workers),
+        )
 
     def _apply_job_row(self, row: StoreRow) -> None:
         if row.removed:
@@ -488,7 +495,12 @@
                 await asyncio.sleep(CANDIDATE_RESTART_PAUSE_S)
                 continue
             planner = self._active = self._create_planner(leader_lease)
-            log(events.PLANNER_STARTED, fencing_token=leader_lease.token)
+            log(
+                events.PLANNER_STARTED,
+                fencing_token=leader_lease.token,
+                replaced_revision=leader_lease.replaced_revision,
+                former_renewed_s=round(clock.steady_s() - leader_lease.renewed_at, 3),
+            )
             try:
                 await planner.run()
             except* Deposed as group:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -21,6 +21,7 @@
 from .crashes import EARLY_S
 from .guarantees import Guarantees
 from .ordering import step_sort_key
+from .release_log import Proof, log_release
 from .reports import (
     Advice,
     AdviceRequest,
@@ -112,6 +113,11 @@
     def dirty(self, names: set[str]) -> None:
         self._state.dirty = names
 
+    @property
+    def inherited_revision(self) -> int:
+        """Store revision up to which jobs may have been started by earlier planners."""
+        return self._inherited_revision
+
     @property
     def has_unconfirmed_jobs(self) -> bool:
         """Whether a job was accepted after the lease was last confirmed."""
@@ -231,7 +237,13 @@
             del self.workers[name]
 
     def remove_ended_worker(
-        self, name: str, *, now: float, unix_s: float, known_at: float | None = None
+        self,
+        name: str,
+        *,
+        now: float,
+        unix_s: float,
+        known_at: float | None = None,
+        source: str = "",
     ) -> None:
         """Release all runs of an incarnation that has ended.
 
@@ -241,9 +253,11 @@
 
         :param known_at: monotonic time to which the knowledge dates back; by default
             now
+        :param source: what has shown it, for the log
         """
         worker = self.workers.get(name)
-        if worker is None or worker.active_since(now if known_at is None else known_at):
+        known_at = now if known_at is None else known_at
+        if worker is None or worker.active_since(known_at):
             return
         del self.workers[name]
         announced = self._end_announced(worker)
@@ -252,6 +266,9 @@
             worker=name,
             runs=len(worker.runs),
             announced=announced,
+            source=source,
+            known_s=round(now - known_at, 3),
+            answered_s=round(now - worker.answered_at, 3),
         )
         self._recent_ends = {
             address: ended
@@ -259,7 +276,9 @@
             if now - ended[0] < RESTART_MEMORY_S
         }
         self._recent_ends[worker.entry.address] = (now, worker.failures)
-        self._losses.release_ended_worker(worker, now, unix_s, announced=announced)
+        self._losses.release_ended_worker(
+            worker, known_at, now, unix_s, announced=announced
+        )
 
     def apply_heartbeat(
         self,
@@ -283,7 +302,7 @@
             announced = self._end_announced(worker)
             own = listed | {(ended.task, ended.run) for ended in reply.ended}
             self._losses.apply_restart(
-                worker, own, sent_at, now, unix_s, announced=announced
+                worker, started_ms, own, sent_at, now, unix_s, announced=announced
             )
         worker.started_ms = started_ms
         worker.lapsed = []
@@ -354,6 +373,7 @@
             worker.forecast = None
             self._state.stop_other_members(run)
         elif certain and outcome is not StartOutcome.UNKNOWN:
+            log_release(worker, run, Proof.NOT_STARTED, now)
             self._state.release_run(worker, run, EndKind.STOPPED, "", now, unix_s)
         else:
             worker.record_refusal(now)
@@ -395,7 +415,14 @@
             recover_speed(worker)
             if now > worker.lease_until:
                 if worker.runs:
-                    log(events.WORKER_LAPSED, worker=name, runs=len(worker.runs))
+                    log(
+                        events.WORKER_LAPSED,
+                        worker=name,
+                        runs=len(worker.runs),
+                        lapsed_s=round(now - worker.lease_until, 3),
+                        answered_s=round(now - worker.answered_at, 3),
+                        started_ms=worker.started_ms,
+                    )
                 worker.synced = worker.synced or not worker.registered
                 announced = self._end_announced(worker)
                 self._losses.release_lapsed_worker(
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -56,7 +56,8 @@
     :param usable: workers that may get new runs, by service
     :param quarantined: workers that failed too often a short time ago, by service
     :param previous: reservations of the previous round
-    :param blocked: units that an earlier planner may have started must wait
+    :param blocked: some workers have not listed their runs; units that an earlier
+        planner may have started must wait
     :param now: monotonic time in seconds
     :ivar advice_requests: requests to be sent to the advice service
     :ivar reserved: workers reserved for waiting gangs
@@ -365,6 +366,9 @@
             workers=[worker.entry.worker for worker in members.values()],
             waited_s=round(now - unit.waiting_since, 3),
             saved=unit.checkpoint,
+            accepted_at_revision=job.revision,
+            inherited=job.inherited,
+            unknown_workers=self._blocked,
         )
 
     def _preempt(self, unit: Unit, workers: Sequence[Worker]) -> bool:
--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -318,7 +318,9 @@
         if outcome is UpkeepOutcome.BUSY:
             self._state_writer.put(wave_state.record_write)
         if outcome is UpkeepOutcome.BEGUN and ended:
-            self._planner.remove_ended_worker(ended, now=now, unix_s=clock.unix.now_s())
+            self._planner.remove_ended_worker(
+                ended, now=now, unix_s=clock.unix.now_s(), source="order of upkeep"
+            )
             self._on_change()
 
     async def _read_records(self) -> dict[int, list[str]]:
--- a/libs/planner/src/bilberryhitch_planner/worker_losses.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_losses.py
@@ -18,6 +18,7 @@
     is_proof,
     lost_task,
 )
+from .release_log import Proof, log_release
 from .reports import EndKind
 from .runs import RunState
 from .units import TrackedJob
@@ -54,10 +55,17 @@
         self._count_crash(name, lost, unix_s, certain=True)
 
     def release_ended_worker(
-        self, worker: Worker, now: float, unix_s: float, *, announced: bool
+        self,
+        worker: Worker,
+        known_at: float,
+        now: float,
+        unix_s: float,
+        *,
+        announced: bool,
     ) -> None:
         """Release all runs of a worker that has certainly ended.
 
+        :param known_at: monotonic time at which it had ended
         :param announced: it was expected to end, so this was no crash
         """
         lapsed = bool(worker.lapsed)
@@ -67,11 +75,12 @@
             self._count_crash(
                 worker.entry.worker, lost, unix_s, certain=True, proof=proof
             )
-        self._release_all(worker, now, unix_s)
+        self._release_all(worker, Proof.WORKER_ENDED, now, unix_s, known_at=known_at)
 
     def apply_restart(
         self,
         worker: Worker,
+        started_ms: int,
         own: Container[tuple[TaskName, int]],
         sent_at: float,
         now: float,
@@ -84,6 +93,7 @@
         A run whose last order was answered after the request for the new life's list
         may be in either life. A later list settles it.
 
+        :param started_ms: Unix time of the start of the new life in ms
         :param own: runs that the new life lists, active or ended
         :param sent_at: monotonic time at which the request for that list was sent
         :param announced: the former life was expected to end, so this was no crash
@@ -95,6 +105,15 @@
             if run.state is RunState.STOPPING and not run.confirmed:
                 self._state.repeat_stop(run)
         ended = [run for run in missing.values() if run.settled_before(sent_at)]
+        log(
+            events.WORKER_RESTARTED,
+            worker=worker.entry.worker,
+            former_ms=worker.started_ms,
+            started_ms=started_ms,
+            requested_s=round(now - sent_at, 3),
+            released=len(ended),
+            kept=len(worker.runs) - len(ended),
+        )
         doubtful = {
             key: lost_task(worker, run, run.unit)
             for key, run in missing.items()
@@ -113,6 +132,7 @@
         worker.last_end_sequence = 0
         worker.record_failure(now)
         for run in ended:
+            log_release(worker, run, Proof.RESTARTED, now, known_at=sent_at)
             self._state.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
 
     def release_missing_runs(
@@ -139,6 +159,7 @@
                 self._count_crash(
                     worker.entry.worker, [task], unix_s, certain=True, proof=proof
                 )
+            log_release(worker, run, Proof.NOT_LISTED, now, known_at=sent_at)
             self._state.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
         worker.doubtful = {
             key: doubt
@@ -161,7 +182,7 @@
             worker.lapsed = lost
         elif not announced:
             self._count_crash(worker.entry.worker, lost, unix_s, certain=False)
-        self._release_all(worker, now, unix_s)
+        self._release_all(worker, Proof.LAPSED, now, unix_s)
 
     def _take_lost_tasks(self, worker: Worker) -> list[LostTask]:
         """Return the tasks that may have had a run on a worker that has none now."""
@@ -175,8 +196,17 @@
         lost += [task for task, _ in self._inherited.take(worker.entry.worker)]
         return lost
 
-    def _release_all(self, worker: Worker, now: float, unix_s: float) -> None:
+    def _release_all(
+        self,
+        worker: Worker,
+        proof: Proof,
+        now: float,
+        unix_s: float,
+        *,
+        known_at: float | None = None,
+    ) -> None:
         for run in list(worker.runs.values()):
+            log_release(worker, run, proof, now, known_at=known_at)
             self._state.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
 
     def _count_crash(
--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -246,6 +246,7 @@
             now=clock.steady_s(),
             unix_s=clock.unix.now_s(),
             known_at=known_at,
+            source="another incarnation at its address",
         )
         self._on_change()
 
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -350,6 +350,12 @@
     "A worker's lease expired while it was unreachable; its runs are released.",
     "Check the network between the planner's host and the worker.",
 )
+WORKER_RESTARTED = Event(
+    3212,
+    "worker_restarted",
+    "WARNING",
+    "A worker lists its runs with another time of start; those of before are lost.",
+)
 MACHINES_UNKNOWN = Event(
     3206,
     "machines_unknown",
@@ -380,6 +386,13 @@
     "WARNING",
     "The process of the planner has ended without releasing its lease.",
 )
+PLANNER_LEASE_FOUND = Event(
+    4226,
+    "planner_lease_found",
+    "WARNING",
+    "The planner's lease names this process already: an acquisition was not answered,"
+    " or an earlier term ended without a release.",
+)
 PLANNER_STARTED = Event(
     4222, "planner_started", "INFO", "This host has started to plan."
 )
@@ -409,6 +422,13 @@
     "Tell the caller; correct the task.",
 )
 RUN_ENDED = Event(4212, "run_ended", "INFO", "A worker reported the end of a run.")
+RUN_RELEASED = Event(
+    4225,
+    "run_released",
+    "WARNING",
+    "A run that no worker has listed as ended is held for over; its task may start"
+    " again. The proof and the ages of what it rests on are given.",
+)
 RUN_ADOPTED = Event(
     4213,
     "run_adopted",
