Add a failing test: a term on the process's own lease row forgets jobs

What callers may see: two runs of one task at once. A term that ends without a release (isolated while the store is silent, an unexpected error) leaves the row with the process's own name. The next term of that process takes it without a transaction, with the revision of the last renewal for its token and for the last commit. Jobs that the former term accepted after that renewal and confirmed with commits that do not renew the lease count as new, and are started beside what runs.

--- a/libs/planner/tests/test_takeover.py
+++ b/libs/planner/tests/test_takeover.py
@@ -101,6 +101,34 @@
     run_virtual(run_scenario())
 
 
+@pytest.mark.parametrize("renewals", [0, 1, 3])
+def test_a_term_after_one_that_was_not_released_inherits_what_it_had_confirmed(
+    renewals,
+):
+    """Guards against a second run of a task beside the first: a process that finds its
+    own name in the lease row must not take jobs of its former term for new, nor use the
+    token of that term's orders again.
+    """
+
+    async def run_scenario():
+        store = MemoryStore()
+        election = LeaderElection(store, "a/1")
+        first = await election.acquire()
+        former = state_writer(store, first)
+        for _ in range(renewals):
+            await former.write()
+            await asyncio.sleep(RENEWAL_PERIOD_S)
+        await former.write()
+        confirmed = await accept_job(store, "confirmed")
+        await former.write()
+        unconfirmed = await accept_job(store, "unconfirmed")
+        second = await election.acquire()
+        last = await read_last_commit(store, second)
+        assert confirmed < last < unconfirmed < second.token
+
+    run_virtual(run_scenario())
+
+
 def test_each_commit_leaves_its_revision():
     """Guards against a commit that confirms jobs without a trace for a successor."""
 
