Begin each term of a planner with a transaction of its own

What callers may see: two runs of one task at once, ordered by one process. Cause: a process that found its own name in the lease row took the lease without a transaction, for the answer to an acquisition that had been lost. The row may as well be left from its former term, which ended without a release. The new term then had the revision of the former one's last renewal for its token and for the last commit: jobs confirmed later by commits that do not renew counted as new, and orders still under way were not fenced. Change: such a row is acquired like any other, at once, so the token is newer than all that the former term did, and the last commit is read from the rows. If the row may stem from an unanswered acquisition, everything up to the new token counts as inherited, as before.

--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -160,23 +160,28 @@
 
     async def _try_acquire(self) -> LeaderLease | None:
         lease = decode_lease(self._row)
-        if self._row is not None and lease.holder == self._holder:
-            # An earlier acquisition succeeded, but its response was lost.
-            log(
-                events.PLANNER_LEASE_FOUND,
-                former_token=lease.token,
-                renewal=lease.renewal,
-                revision=self._row.revision,
-            )
-            return self._leader_lease(self._row.revision)
         if not lease.holder:
             changed = self._precedence_s > 0 and await self._give_precedence()
         elif _host(lease.holder) != _host(self._holder):
             changed = await self._wait_for_change(lease)
         else:
+            self._log_own_row(lease)
             changed = False
         return None if changed else await self._commit_acquisition(lease)
 
+    def _log_own_row(self, lease: LeaseRow) -> None:
+        """Log that the row names this process.
+
+        That gives it no lease: its next term needs a token and a last commit that cover
+        all that the former one has done, so it acquires the lease like any other.
+        """
+        if lease.holder == self._holder:
+            log(
+                events.PLANNER_LEASE_FOUND,
+                former_token=lease.token,
+                renewal=lease.renewal,
+            )
+
     async def _give_precedence(self) -> bool:
         """Leave a free lease to more powerful hosts.
 
@@ -279,20 +284,24 @@
             former=previous.holder,
             former_silent_s=round(clock.steady_s() - self._changed_at, 3),
         )
-        return self._leader_lease(revision, present if previous.marks_commits else None)
-
-    def _leader_lease(
-        self, token: int, replaced_revision: int | None = None
-    ) -> LeaderLease:
         return LeaderLease(
             self._holder,
-            token,
-            self._tried_at,
-            self._changed_at,
-            self._address,
-            replaced_revision,
+            token=revision,
+            acquired_at=self._tried_at,
+            renewed_at=self._changed_at,
+            address=self._address,
+            replaced_revision=present if self._marked_commits(previous) else None,
         )
 
+    def _marked_commits(self, previous: LeaseRow) -> bool:
+        """Return whether the former holder's last commit can be told from the rows.
+
+        An acquisition of this process that was not answered has replaced a row that
+        may have been another holder's.
+        """
+        unanswered = previous.holder == self._holder and not previous.token
+        return previous.marks_commits and not unanswered
+
     def _observe_row(self, row: StoreRow | None) -> None:
         if row is not None and row.removed:
             row = None
