Confirm only jobs that were known when a commit was sent

What callers may see: two runs of one task at once, around a takeover. Cause: a commit confirmed all jobs up to the revision in its answer, as if that were its own. Change: a commit confirms the jobs that the planner knew when it sent it, as these are certainly older; nothing is confirmed before the term's first commit.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -83,7 +83,7 @@
         self._inherited_revision = inherited_revision
         self._inherited_until = inherited_until
         self._acquired_revision = inherited_revision
-        self._confirmed_revision = inherited_revision
+        self._confirmed_revision = 0
         self._newest_revision = 0
         self._queues: dict[str, Queue] = {}
         self._guarantees = Guarantees()
@@ -123,11 +123,16 @@
         """Whether a job was accepted after the lease was last confirmed."""
         return self._newest_revision > self._confirmed_revision
 
+    @property
+    def newest_revision(self) -> int:
+        """Store revision of the latest acceptance of a job that this planner knows."""
+        return self._newest_revision
+
     def confirm_lease(self, revision: int) -> None:
-        """Record that the leader lease was held at a store revision.
+        """Record that a commit of this planner has a store revision above a given one.
 
-        A later planner's lease has a higher revision, so that planner treats jobs
-        accepted up to this revision as possibly started.
+        A later planner knows the revision of the commit, so it treats jobs accepted up
+        to the given revision as possibly started.
         """
         self._confirmed_revision = max(self._confirmed_revision, revision)
 
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -293,6 +293,8 @@
         roster = frozenset(self._planner.workers)
         writes += summary + self._roster_write(roster)
         removals = self._removals() if renew else []
+        # The revision in the answer may be newer than that of the commit.
+        known_revision = self._planner.newest_revision
         self._started_commits += 1
         commit_number = self._started_commits
         self._in_flight = True
@@ -316,7 +318,7 @@
             return
         finally:
             self._in_flight = False
-        self._planner.confirm_lease(revision)
+        self._planner.confirm_lease(known_revision)
         self._planner.stored_roster = roster
         if renew:
             self._revision = revision
--- a/libs/planner/tests/test_takeover.py
+++ b/libs/planner/tests/test_takeover.py
@@ -10,9 +10,11 @@
 from types import SimpleNamespace
 
 import pytest
+from bilberryhitch_jobs import JobProgress, JobState
 from bilberryhitch_jobs.rows import ExpectedRevision, RowWrite
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
+    HeartbeatReply,
     LeaderElection,
     LeaderLease,
     LeadingPlanner,
@@ -31,7 +33,13 @@
 from bilberryhitch_planner.worker_session import MAX_START_ATTEMPTS, WorkerSession
 from bilberryhitch_testing import run_virtual
 from bilberryhitch_testing.memory_store import MemoryStore
-from bilberryhitch_testing.planner_harness import PlannerHarness, entry, request, step
+from bilberryhitch_testing.planner_harness import (
+    PlannerHarness,
+    configuration,
+    entry,
+    request,
+    step,
+)
 
 
 @pytest.fixture(autouse=True)
@@ -129,6 +137,46 @@
     run_virtual(run_scenario())
 
 
+class BusyStore(MemoryStore):
+    """A store that accepts a job between a transaction and its answer.
+
+    The answer bears the store's newest revision.
+    """
+
+    async def commit(self, expected, writes, removals=(), **options):
+        await super().commit(expected, writes, removals, **options)
+        job = RowWrite("jobs", f"j{self.revision + 1}", b"{}")
+        return await super().commit((), (job,), timeout_s=1.0)
+
+
+def test_a_job_accepted_before_the_answer_to_a_commit_is_not_confirmed_by_it():
+    """Guards against a start of a job that is newer than the last commit, which a
+    successor takes for new and starts again beside the first run.
+    """
+
+    async def run_scenario():
+        store = BusyStore()
+        lease = await LeaderElection(store, "a/1").acquire()
+        planner = Planner(inherited_revision=lease.token, inherited_until=0.0)
+        planner.configure(configuration())
+        planner.add_worker(entry("w1"), now=0.0)
+        planner.apply_heartbeat(
+            "w1", HeartbeatReply(0.0, 1, (), ()), sent_at=0.0, now=0.0, unix_s=0.0
+        )
+        writer = StateWriter(store, lease, planner, retention_s=60.0)
+        for _ in range(3):
+            await writer.write()
+            job = request(f"j{store.revision}", step())
+            progress = JobProgress(JobState.PENDING, "a", {})
+            planner.add_job(job, progress, store.revision, now=0.0, unix_s=0.0)
+            assert planner.has_unconfirmed_jobs
+            started = {order.task.job for order in planner.plan(now=0.0, unix_s=2e6)}
+            assert job.job not in started
+            await asyncio.sleep(RENEWAL_PERIOD_S / 3)
+
+    run_virtual(run_scenario())
+
+
 def test_each_commit_leaves_its_revision():
     """Guards against a commit that confirms jobs without a trace for a successor."""
 
