Log a release of the lease that the store has not confirmed

A term that ended as isolated while the store was silent gave the lease up without an answer, and no line said so: planner_release_failed (4205) was logged for a later holder and for a time-out only. It decides whether the next term finds its own lease row. libs/planner's tests of candidates and of the election pass.

--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -519,7 +519,8 @@
     async def _release(self, planner: LeadingPlanner) -> None:
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await planner.state_writer.release()
+                if not await planner.state_writer.release():
+                    log(events.PLANNER_RELEASE_FAILED, error="not confirmed")
         except (Deposed, TimeoutError) as error:
             log(events.PLANNER_RELEASE_FAILED, error=error)
 
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -267,18 +267,20 @@
         ]
         return expired[:MAX_REMOVED_PER_COMMIT]
 
-    async def release(self) -> None:
+    async def release(self) -> bool:
         """Store the remaining changes and release the lease.
 
+        :returns: whether the store has confirmed it
         :raises Deposed: if another host holds the lease
         """
-        await self.write(holder="")
+        return await self.write(holder="")
 
-    async def write(self, holder: str | None = None) -> None:
+    async def write(self, holder: str | None = None) -> bool:
         """Write one transaction.
 
         :param holder: holder to be stored in the lease row; empty releases the
             lease, None keeps it
+        :returns: whether the store has confirmed it
         :raises Deposed: if another host holds the lease
         """
         now = clock.steady_s()
@@ -309,13 +311,13 @@
             self._planner.dirty |= names
             self._pending_rows = pending_rows | self._pending_rows
             self._resolve_conflict(conflict)
-            return
+            return False
         except (StoreRefused, StoreUnknown) as error:
             self._planner.dirty |= names
             self._pending_rows = pending_rows | self._pending_rows
             self._note_failure(error)
             await asyncio.sleep(RETRY_PAUSE_S)
-            return
+            return False
         finally:
             self._in_flight = False
         self._planner.confirm_lease(known_revision)
@@ -337,6 +339,7 @@
             async with self._commit_stored:
                 self._stored_commits = commit_number
                 self._commit_stored.notify_all()
+        return True
 
     def _renewal_due(self, now: float) -> bool:
         return now - self._renewed_at >= RENEWAL_PERIOD_S
