Take the fencing token from the lease row

What callers may see: orders of two planners that workers cannot tell apart. Cause: the token was the revision in the answer to the acquisition. An answer may name a newer revision, so that of another planner's acquisition in between. Change: the row is read back; its revision is the token, and a row that names another holder gives no lease. A takeover makes one more read.

--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -269,8 +269,9 @@
         value = LeaseRow(self._holder, 0, 0, self._address, marks_commits=True)
         present = self._row.revision if self._row else 0
         self._tried_at = clock.steady_s()
+        former_changed_at = self._changed_at
         try:
-            revision = await self._store.commit(
+            await self._store.commit(
                 (ExpectedRevision(LEASE_TABLE, LEASE_KEY, present),),
                 (RowWrite(LEASE_TABLE, LEASE_KEY, encode_lease(value)),),
                 timeout_s=CALL_TIMEOUT_S,
@@ -278,17 +279,21 @@
         except CommitConflict as conflict:
             self._observe_row(_lease_row(conflict.rows))
             return None
+        # The revision in the answer may be newer than that of the acquisition.
+        await self._read()
+        if self._row is None or decode_lease(self._row).holder != self._holder:
+            return None
         log(
             events.PLANNER_LEASE_WON,
-            fencing_token=revision,
+            fencing_token=self._row.revision,
             former=previous.holder,
-            former_silent_s=round(clock.steady_s() - self._changed_at, 3),
+            former_silent_s=round(clock.steady_s() - former_changed_at, 3),
         )
         return LeaderLease(
             self._holder,
-            token=revision,
+            token=self._row.revision,
             acquired_at=self._tried_at,
-            renewed_at=self._changed_at,
+            renewed_at=former_changed_at,
             address=self._address,
             replaced_revision=present if self._marked_commits(previous) else None,
         )
