Know of the stored roster only what is certain

What callers may see: two runs of one task at once after a takeover, as the successor does not wait for a worker that has a run. Cause: the planner compared the roster with the one that it had last seen stored. A roster without a worker that was stored without an answer counted as not stored, so a worker that came back was not written again; and a worker that the roster under way left out could get a run before the answer. Change: from the moment at which a roster is sent, the planner uses only workers that are in it and in the former one, and after a failure the row is written again.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -61,8 +61,8 @@
         up to it may have been started by an earlier planner
     :param inherited_until: monotonic time in seconds at which every worker lease
         granted by an earlier planner has expired
-    :ivar stored_roster: workers in the stored roster. A later planner queries them
-        before it restarts what this planner may have started.
+    :ivar stored_roster: workers that are certainly in the stored roster. A later
+        planner queries them before it restarts what this planner may have started.
     :ivar cordoned: workers that get no new runs because they are about to be taken
         down
     :ivar evacuated: data centres in which nothing is started
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -144,6 +144,8 @@
         self._summary = b""
         self._summary_at = float("-inf")
         self._counts_enabled = False
+        # What the row holds; None while that is not certain.
+        self._written_roster: frozenset[str] | None = frozenset()
         self._pending_rows: dict[tuple[str, str], RowWrite] = {}
         # Jobs whose request rows are removed and whose progress rows remain.
         self._orphans: set[str] = set()
@@ -294,6 +296,8 @@
         summary = self._summary_write(now)
         roster = frozenset(self._planner.workers)
         writes += summary + self._roster_write(roster)
+        # A worker that the row may lack from now on gets no new run.
+        self._planner.stored_roster &= roster
         removals = self._removals() if renew else []
         # The revision in the answer may be newer than that of the commit.
         known_revision = self._planner.newest_revision
@@ -321,7 +325,7 @@
         finally:
             self._in_flight = False
         self._planner.confirm_lease(known_revision)
-        self._planner.stored_roster = roster
+        self._planner.stored_roster = self._written_roster = roster
         if renew:
             self._revision = revision
             self._renewed_at = self._confirmed_at = now
@@ -386,8 +390,9 @@
 
     def _roster_write(self, roster: frozenset[str]) -> list[RowWrite]:
         """Return the row that lists the workers which a successor must query."""
-        if roster == self._planner.stored_roster:
+        if roster == self._written_roster:
             return []
+        self._written_roster = None
         return [RowWrite(ROSTER_TABLE, ROSTER_KEY, msgspec.json.encode(sorted(roster)))]
 
     def _removals(self) -> list[RowRemoval]:
