--- a/libs/jobs/src/bilberryhitch_jobs/table_watcher.py
+++ b/libs/jobs/src/bilberryhitch_jobs/table_watcher.py
@@ -23,6 +23,7 @@
     :param on_change: called with each changed or removed row
     :param partitions: partitions of the table that hold rows
     :ivar last_response_at: steady time of the store's last response
+    :ivar reported_revision: all changes up to this revision have been reported
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         partitions: Sequence[str] = ("",),
     ) -> None:
         self.last_response_at = float("-inf")
+        self.reported_revision = 0
         self._store = store
         self._table = table
         self._on_snapshot = on_snapshot
@@ -64,13 +66,17 @@
             snapshot = await read_partitions(self._store, self._table, self._partitions)
             self._note_response()
             self._on_snapshot(snapshot.rows, snapshot.revision)
-            self._revision = snapshot.revision
+            self._set_revision(snapshot.revision)
             return
         changes = await self._store.watch(self._table, self._revision, WATCH_WAIT_S)
         self._note_response()
         for row in changes.rows:
             apply_row(self._on_change, row)
-        self._revision = max(self._revision, changes.revision)
+        self._set_revision(max(self._revision, changes.revision))
+
+    def _set_revision(self, revision: int) -> None:
+        self._revision = revision
+        self.reported_revision = max(self.reported_revision, revision)
 
     def _note_response(self) -> None:
         self.last_response_at = clock.steady_s()
--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -329,7 +329,9 @@
 
     def _load_jobs(self, rows: tuple[StoreRow, ...], revision: int) -> None:
         for row in rows:
-            apply_row(self._apply_job_row, row)
+            # One that was reported before is known, or was removed after the read.
+            if row.revision > self._jobs.reported_revision:
+                apply_row(self._apply_job_row, row)
         log(
             events.JOBS_LOADED,
             jobs=len(self.planner.jobs),
