Count a job with stored progress as inherited

Stored progress shows that an earlier planner has started the job. Whether its tasks wait for workers that have not listed their runs depended on revisions alone. test_a_job_with_progress_waits_... failed before; libs/planner passes.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -175,7 +175,7 @@
             request,
             progress,
             revision=revision,
-            inherited=revision <= self._inherited_revision,
+            inherited=revision <= self._inherited_revision or bool(progress.units),
             arrived_at=now - age if revision <= self._acquired_revision else now,
         )
         job.queue = self._queues.get(request.queue.name, job.queue)
--- a/libs/planner/tests/test_takeover.py
+++ b/libs/planner/tests/test_takeover.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
-from bilberryhitch_jobs import JobProgress, JobState
+from bilberryhitch_jobs import JobProgress, JobState, UnitProgress
 from bilberryhitch_jobs.rows import ExpectedRevision, RowWrite
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
@@ -62,6 +62,21 @@
     assert [order.task.job for order in harness.plan_starts()] == ["new"]
 
 
+def test_a_job_with_progress_waits_for_unreachable_workers_whenever_it_was_accepted():
+    """Guards against a second run: stored progress shows that an earlier planner has
+    started the job, even if its last commit seems older than the job.
+    """
+    harness = PlannerHarness(
+        entry("w1"), entry("w2"), inherited_revision=200, inherited_until=12.0
+    )
+    harness.planner.limit_inheritance(150)
+    harness.send_heartbeat("w1")
+    units = {(0, 0, 0): UnitProgress(last_run=1)}
+    progress = JobProgress(JobState.RUNNING, "a", units)
+    harness.add(request("started", step()), progress, revision=151)
+    assert harness.plan_starts() == []
+
+
 def test_the_age_of_a_job_counts_from_its_acceptance_before_the_takeover():
     """Guards against jobs accepted during a takeover whose slack looks longer than it
     is, so that they are placed too late.
