Take the mutant of too little inheritance where inheritance is decided

test_a_planner_that_inherits_too_little_is_detected failed since stored progress makes a job inherited as well: the mutant lowered the revision only, so the second guard hid it. It now replaces the decision itself, by the same lower revision. The machine detects it within the same 60 histories.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -175,7 +175,7 @@
             request,
             progress,
             revision=revision,
-            inherited=revision <= self._inherited_revision or bool(progress.units),
+            inherited=self._inherits(revision, progress),
             arrived_at=now - age if revision <= self._acquired_revision else now,
         )
         job.queue = self._queues.get(request.queue.name, job.queue)
@@ -192,6 +192,10 @@
         self._state.queue_ready_steps(job, now)
         self._losses.inherit_placements(job, unix_s)
 
+    def _inherits(self, revision: int, progress: JobProgress) -> bool:
+        """Return whether an earlier planner may have started a job."""
+        return revision <= self._inherited_revision or bool(progress.units)
+
     def cancel_job(self, name: str, *, unix_s: float) -> None:
         """Cancel a job; a finished one is left unchanged."""
         job = self.jobs.get(name)
--- a/tests/machines/test_point5_planner.py
+++ b/tests/machines/test_point5_planner.py
@@ -144,8 +144,8 @@
     """Guards against a machine that can't detect jobs wrongly taken for new ones."""
     monkeypatch.setattr(
         Planner,
-        "limit_inheritance",
-        lambda self, revision: setattr(self, "_inherited_revision", revision - 20),
+        "_inherits",
+        lambda self, revision, _progress: revision <= self._inherited_revision - 20,
     )
     with pytest.raises(AssertionError):
         run_point(POINT, seed_number=1, histories=60)
