Count the longest lease from the answer where the worker's clock may be another

What callers may see: two runs of one task at once, while the planner's own lease is about to end and a worker has just restarted. Cause: the deadline of a start is on the clock of the worker's last reply. Change: an answered start, and the first list of a new life, allow for the longest lease from that moment.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -308,6 +308,7 @@
         started_ms = reply.started_ms or worker.started_ms
         listed = {(running.task, running.run) for running in reply.running}
         if worker.started_ms not in (0, started_ms):
+            worker.allow_for_longest_lease(now)
             announced = self._end_announced(worker)
             own = listed | {(ended.task, ended.run) for ended in reply.ended}
             self._losses.apply_restart(
@@ -348,6 +349,7 @@
             return
         if outcome is StartOutcome.STARTED:
             worker.heard_at = now
+            worker.allow_for_longest_lease(now)
             run.settled_at = now
             run.confirmed = True
             if run.state is RunState.ORDERED:
--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -23,11 +23,8 @@
 from .state_writer import StateWriter
 from .throttling import shares_cpu
 from .worker_calls import WorkerCalls
-from .workers import Worker
+from .workers import MAX_LEASE_S, Worker
 
-# Lease of the runs on a worker. It is the longest that the platform grants, so that
-# runs survive network partitions of several seconds.
-LEASE_S = 10.0
 # No run is started with a shorter lease: it must cover the next heartbeats.
 MIN_LEASE_S = 1.5
 # How long the worker holds a heartbeat open while no run ends. This is also the
@@ -135,7 +132,8 @@
 
     async def _send_heartbeat(self, sent_at: float, wait_s: float) -> HeartbeatReply:
         worker = self._planner.workers[self._name]
-        limit = min(sent_at + LEASE_S, self._state_writer.worker_lease_limit)
+        # The longest lease lets runs survive network partitions of several seconds.
+        limit = min(sent_at + MAX_LEASE_S, self._state_writer.worker_lease_limit)
         lease = None
         # A renewal without a response may still have taken effect. An unreachable
         # worker gets no further renewal, so that its lease certainly expires.
@@ -175,7 +173,7 @@
             if worker is None or run is None or run.state is not RunState.ORDERED:
                 return
             now = clock.steady_s()
-            limit = min(now + LEASE_S, self._state_writer.worker_lease_limit)
+            limit = min(now + MAX_LEASE_S, self._state_writer.worker_lease_limit)
             if limit - now < MIN_LEASE_S:
                 # Since the round that placed the run, the process may have been
                 # paused or its lease not been renewed.
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -15,6 +15,9 @@
 CLOCK_DRIFT = 0.02
 # Covers the timer granularity on both sides.
 LEASE_SLACK_S = 0.3
+# Longest lease of the runs on a worker; a worker cuts a longer one from the moment at
+# which it carries out the call.
+MAX_LEASE_S = 10.0
 # A heartbeat takes up to 0.6 s; a worker that misses two gets no new runs.
 MAX_SILENCE_S = 1.3
 # Consecutive failed runs after which a worker is quarantined.
@@ -161,6 +164,15 @@
         self.lease_until = max(self.lease_until, until + slow + LEASE_SLACK_S)
         return until + self._clock_offset
 
+    def allow_for_longest_lease(self, now: float) -> None:
+        """Record that the worker may have got the longest lease up to this moment.
+
+        A life that started after the last heartbeat reply has another clock than the
+        one on which the lease was granted.
+        """
+        until = now + MAX_LEASE_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
+        self.lease_until = max(self.lease_until, until)
+
     def record_failure(self, now: float) -> None:
         """Count a failed run; quarantine the worker after several in a row."""
         if now - self.failed_at > FAILURE_MEMORY_S:
--- a/libs/planner/tests/test_restarts.py
+++ b/libs/planner/tests/test_restarts.py
@@ -19,6 +19,8 @@
 from bilberryhitch_planner.worker_session import WorkerSession
 from bilberryhitch_testing import run_virtual
 from bilberryhitch_testing.planner_harness import (
+    LEASE_S,
+    START_UNIX_S,
     PlannerHarness,
     ended,
     entry,
@@ -240,6 +242,46 @@
     return WorkerSession("w0", harness.planner, writer, lease, calls, lambda: None)
 
 
+def next_starts(harness, silent, until_s):
+    """Return the first start orders before a time, while one worker is silent."""
+    while harness.now < until_s:
+        harness.now += 0.5
+        for name in set(harness.planner.workers) - {silent}:
+            harness.send_heartbeat(name, born_ms=FORMER)
+        orders = harness.start_all()
+        if orders:
+            return orders
+    return []
+
+
+@pytest.mark.parametrize("listed", [False, True])
+def test_a_lease_on_the_clock_of_a_former_life_counts_from_the_answer(listed):
+    """Guards against two runs of a task: a new life takes the lease of its start on the
+    former life's clock for a longer one and cuts it to the longest there is.
+    """
+    harness = PlannerHarness(entry("w0"), entry("w1", draining=True))
+    for name in ("w0", "w1"):
+        harness.send_heartbeat(name, born_ms=FORMER)
+    worker = harness.planner.workers["w0"]
+    # The planner's own lease is about to end, so it grants a short one.
+    worker.lease_until = 0.0
+    harness.add(request("j", step()))
+    (order,) = harness.plan_starts()
+    worker.lease_deadline(2.0, harness.now)
+    harness.now = 0.3
+    harness.answer_start(order)
+    if listed:
+        harness.now = 0.4
+        reply = HeartbeatReply(0.1, NEW, (running(order),), ())
+        harness.planner.apply_heartbeat(
+            "w0", reply, sent_at=0.35, now=0.4, unix_s=START_UNIX_S
+        )
+    harness.planner.add_worker(entry("w1"), now=harness.now)
+    assert next_starts(harness, "w0", until_s=LEASE_S - 0.2) == []
+    (again,) = next_starts(harness, "w0", until_s=LEASE_S + 1.5)
+    assert (again.worker, again.run) == ("w1", 2)
+
+
 def test_a_new_life_gets_no_acknowledgement_of_the_former_one():
     """Guards against ends of a new life that it drops before it has listed them, as
     their numbers were acknowledged to the former life: done work is done again.
