Ignore a worker's list that was requested before the worker was added

What callers may see: starts with deadlines on an unknown clock, and so two runs of one task. Cause: a list requested before a worker was removed was applied to the worker that came back under its identifier and made it count as known.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -303,7 +303,8 @@
         :param sent_at: monotonic time at which the request was sent
         """
         worker = self.workers.get(name)
-        if worker is None:
+        if worker is None or sent_at < worker.discovered_at:
+            # Since the request the worker has been removed, and may be back.
             return
         started_ms = reply.started_ms or worker.started_ms
         listed = {(running.task, running.run) for running in reply.running}
