Date a start from its last sending, also before the answer

What callers may see: two runs of one task. Cause: a repeated start counted as sent only once it had been answered, so proof of the worker's end that was older than the sending released the run meanwhile.

--- a/libs/planner/src/bilberryhitch_planner/worker_session.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_session.py
@@ -179,6 +179,7 @@
                 # paused or its lease not been renewed.
                 outcome = StartOutcome.LATE
                 break
+            run.sent_at = now
             outcome = await self._calls.start_run(
                 worker.entry,
                 order,
@@ -189,7 +190,6 @@
                 raise WorkerFenced(self._name)
             if outcome is StartOutcome.UNKNOWN:
                 certain = False
-                run.sent_at = now
             elif outcome is not StartOutcome.NOT_SENT or self._unreachable:
                 break
         if outcome is StartOutcome.GONE:
