Repeat a stop that a former life of its worker may have answered

What callers may see: two runs of one task. Cause: an answer to a stop that came after the first list of the new life counted as that life's, although the former one had given it; a start still under way was barred in neither.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -281,6 +281,16 @@
         run.settled_at = None
         self.orders.append(StopOrder(run.worker, run.task, run.number))
 
+    def take_orders(self) -> list[Order]:
+        """Return the orders to be sent now."""
+        orders, self.orders = self.orders, []
+        for order in orders:
+            worker = self.workers.get(order.worker)
+            run = worker.runs.get((order.task, order.run)) if worker else None
+            if isinstance(order, StopOrder) and worker is not None and run is not None:
+                run.stopped_in = worker.started_ms
+        return orders
+
     def stop_other_members(self, run: Run) -> None:
         """Stop the other members of a gang of which one member cannot run."""
         if run.unit is None:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -400,8 +400,12 @@
         run = worker.runs.get((order.task, order.run)) if worker else None
         if worker is not None and outcome is StopOutcome.STOPPED:
             worker.heard_at = now
-            if run is not None:
-                run.settled_at = now
+            if run is None:
+                return
+            run.settled_at = now
+            if run.stopped_in not in (0, worker.started_ms):
+                # A former life may have answered, whose stop bars no later start.
+                self._state.repeat_stop(run)
 
     def apply_advice(
         self, request: AdviceRequest, advice: Advice | None, *, now: float
@@ -485,8 +489,7 @@
                 _place_step(round_, step)
         self._reservations = round_.reserved
         self.advice_requests += round_.advice_requests
-        orders, self._state.orders = self._state.orders, []
-        return orders
+        return self._state.take_orders()
 
     def _update_pools(self, now: float) -> None:
         """Collect the workers that may get new runs, by service."""
--- a/libs/planner/src/bilberryhitch_planner/runs.py
+++ b/libs/planner/src/bilberryhitch_planner/runs.py
@@ -41,11 +41,16 @@
         may still appear.
     :ivar advanced_at: monotonic time of the last observed progress
     :ivar confirmed: the worker has confirmed its start or listed it
+    :ivar certain: every attempt of its start got an answer, so that none can arrive
+        later
+    :ivar stopped_in: start of the worker's life, as Unix time in ms, that was known
+        when its stop was sent; 0 if none was
     :ivar exclusive: nothing else may be placed on its worker
     """
 
     __slots__ = (
         "advanced_at",
+        "certain",
         "confirmed",
         "demand",
         "exclusive",
@@ -61,6 +66,7 @@
         "sent_at",
         "settled_at",
         "state",
+        "stopped_in",
         "task",
         "unit",
         "worker",
@@ -93,6 +99,8 @@
         self.advanced_at = now
         self.settled_at: float | None = None
         self.confirmed = False
+        self.certain = True
+        self.stopped_in = 0
         self.exclusive = False
 
     def settled_before(self, sent_at: float) -> bool:
