Bar a start attempt without an answer in the worker's next life

What callers may see: two runs of one task. Cause: once a later attempt of a start had been answered, the run counted as settled, and the list of a new life without it released the task. The earlier attempt may still reach the new life. Change: such a run is stopped in the new life first, as other runs whose start is not certain.

--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -353,6 +353,7 @@
             worker.allow_for_longest_lease(now)
             run.settled_at = now
             run.confirmed = True
+            run.certain = certain
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
                 run.advanced_at = now
--- a/libs/planner/src/bilberryhitch_planner/worker_losses.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_losses.py
@@ -102,8 +102,12 @@
         missing = {key: run for key, run in worker.runs.items() if key not in own}
         for run in missing.values():
             # Only the life that answered a stop rejects a start that arrives later.
-            if run.state is RunState.STOPPING and not run.confirmed:
+            if run.confirmed and run.certain:
+                continue
+            if run.state is RunState.STOPPING:
                 self._state.repeat_stop(run)
+            elif run.confirmed:
+                self._state.order_stop(run)
         ended = [run for run in missing.values() if run.settled_before(sent_at)]
         log(
             events.WORKER_RESTARTED,
