Complete a task whose end done is listed, whichever run it is of

What callers may see: work that is done is done again. Cause: an end done of a run that the planner did not know was ignored while another run of the task went on, and yet acknowledged; if that run was lost, a further one started. Change: the task is complete, and its other runs are stopped.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -111,7 +111,7 @@
             return
         unit.last_run = max(unit.last_run, ended.run)
         same_run = all(run.number == ended.run for run in unit.runs.values())
-        if same_run or ended.how is EndKind.FAILED:
+        if same_run or ended.how in (EndKind.FAILED, EndKind.DONE):
             self._apply_unit_end(
                 unit, ended.run, ended.how, ended.checkpoint, now, unix_s
             )
@@ -159,7 +159,7 @@
         if not job.started:
             job.state = JobState.RUNNING
         if how is EndKind.DONE and not step.step.long_running:
-            self._complete(unit, now, unix_s)
+            self._complete(unit, number, now, unix_s)
             return
         if checkpoint and number == unit.last_run:
             unit.checkpoint = checkpoint
@@ -173,8 +173,12 @@
                 self.order_stop(run)
         self._requeue(unit, now)
 
-    def _complete(self, unit: Unit, now: float, unix_s: float) -> None:
+    def _complete(self, unit: Unit, number: int, now: float, unix_s: float) -> None:
+        """Complete a unit of which a run is done; other runs are not needed."""
         step, job = unit.step, unit.step.job
+        for run in unit.runs.values():
+            if run.number != number:
+                self.order_stop(run)
         step.mark_done(unit)
         if job.complete:
             self.finish_job(job, JobState.COMPLETED, unix_s)
