Release the lease also when a transaction was under way or failed

What callers may see: up to 1.7 s without a planner, and a lease row that names a process whose term has ended, the start of the incident's cause. Cause: a term that ended during a transaction gave it up without noting that it might take effect, nor what it was to store; the one attempt to release the lease was then conditional on an old revision and not repeated. Change: an abandoned transaction counts as unknown and its changes are stored by the next one; the release is repeated until it is stored, within the time that its caller allows.

--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -521,10 +521,9 @@
     async def _release(self, planner: LeadingPlanner) -> None:
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                if not await planner.state_writer.release():
-                    log(events.PLANNER_RELEASE_FAILED, error="not confirmed")
+                await planner.state_writer.release()
         except (Deposed, TimeoutError) as error:
-            log(events.PLANNER_RELEASE_FAILED, error=error)
+            log(events.PLANNER_RELEASE_FAILED, error=repr(error))
 
 
 def _log_unexpected(scope: str, key: str, error: Exception) -> None:
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -270,12 +270,19 @@
         return expired[:MAX_REMOVED_PER_COMMIT]
 
     async def release(self) -> bool:
-        """Store the remaining changes and release the lease.
+        """Store the remaining changes and release the lease; retry until it is stored.
 
-        :returns: whether the store has confirmed it
+        :returns: true, once the store has confirmed it
         :raises Deposed: if another host holds the lease
         """
-        return await self.write(holder="")
+        try:
+            while not await self.write(holder=""):
+                pass
+        except Deposed as error:
+            # An earlier attempt without an answer may have released it.
+            if error.holder:
+                raise
+        return True
 
     async def write(self, holder: str | None = None) -> bool:
         """Write one transaction.
@@ -311,16 +318,10 @@
                 removals,
                 timeout_s=CALL_TIMEOUT_S,
             )
-        except CommitConflict as conflict:
+        except BaseException as error:
             self._planner.dirty |= names
             self._pending_rows = pending_rows | self._pending_rows
-            self._resolve_conflict(conflict)
-            return False
-        except (StoreRefused, StoreUnknown) as error:
-            self._planner.dirty |= names
-            self._pending_rows = pending_rows | self._pending_rows
-            self._note_failure(error)
-            await asyncio.sleep(RETRY_PAUSE_S)
+            await self._handle_failure(error)
             return False
         finally:
             self._in_flight = False
@@ -412,6 +413,21 @@
         self._revision = row.revision
         self._outcome_unknown = True
 
+    async def _handle_failure(self, error: BaseException) -> None:
+        """Prepare the next transaction after one that the store has not confirmed.
+
+        :raises BaseException: the error, unless it is one of the store
+        """
+        if isinstance(error, CommitConflict):
+            self._resolve_conflict(error)
+        elif isinstance(error, StoreRefused | StoreUnknown):
+            self._note_failure(error)
+            await asyncio.sleep(RETRY_PAUSE_S)
+        else:
+            # A transaction that was given up may still take effect.
+            self._outcome_unknown = True
+            raise error
+
     def _note_failure(self, error: StoreRefused | StoreUnknown) -> None:
         if isinstance(error, StoreUnknown):
             self._outcome_unknown = True
