--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -290,6 +290,7 @@
             if not await self._state_writer.flush(FLUSH_TIMEOUT_S):
                 continue
             await self._order(wave_state, machines[name])
+        self._update_cordon(machines)
         if wave_state.complete(machines) and await self._state_writer.flush(
             FLUSH_TIMEOUT_S
         ):
