Keep jobs whose end is just being stored

A job whose end was in the transaction under way could be removed by a planner that had lost its lease, after an outage as long as the retention. test_a_job_whose_end_is_just_being_stored_is_not_removed failed before; libs/planner passes.

--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -141,6 +141,8 @@
         self._started_commits = 0
         self._stored_commits = 0
         self._in_flight = False
+        # Jobs whose progress is in the transaction under way.
+        self._unanswered: set[str] = set()
         self._summary = b""
         self._summary_at = float("-inf")
         self._counts_enabled = False
@@ -266,6 +268,7 @@
             and job.finished
             and 0 < job.finished_s < limit
             and name not in self._planner.dirty
+            and name not in self._unanswered
         ]
         return expired[:MAX_REMOVED_PER_COMMIT]
 
@@ -311,6 +314,7 @@
         self._started_commits += 1
         commit_number = self._started_commits
         self._in_flight = True
+        self._unanswered = names
         try:
             revision = await self._store.commit(
                 (ExpectedRevision(LEASE_TABLE, LEASE_KEY, self._revision),),
@@ -325,6 +329,7 @@
             return False
         finally:
             self._in_flight = False
+            self._unanswered = set()
         self._planner.confirm_lease(known_revision)
         self._planner.stored_roster = self._written_roster = roster
         if renew:
