Date an end by upkeep from the first order that may have caused it

What callers may see: two runs of one task, the first not stopped. Cause: an order of upkeep is answered as begun also if an earlier one has done it. A repeated order, after answers that were lost or refused, or after a wave that was withdrawn, ended the machine's next worker and released its runs. Change: the end is known as of the first order of this planner for the wave, so a worker that has answered since stays; where an earlier planner ordered, the answer proves nothing of a worker.

--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -105,6 +105,9 @@
     def __init__(self, wave: Wave, ordered: Iterable[str]) -> None:
         self.wave = wave
         self.ordered = dict.fromkeys(ordered, "")
+        # Since when a machine may have been taken down for the wave; None if by an
+        # earlier planner, at an unknown time.
+        self._first_sent_at: dict[str, float | None] = dict.fromkeys(self.ordered)
         self.draining: dict[str, float] = {}
         self._begun: dict[str, float] = {}
         self._excluded: set[str] = set()
@@ -133,6 +136,22 @@
         if outcome is not UpkeepOutcome.UNKNOWN:
             self.draining.pop(machine, None)
 
+    def note_sending(self, machine: str, now: float) -> None:
+        """Record that an order is sent."""
+        self._first_sent_at.setdefault(machine, now)
+
+    def end_known_at(self, machine: str, sent_at: float, now: float) -> float | None:
+        """Return when what ran on a machine had ended, by an order answered as begun.
+
+        An earlier order without an answer may have begun it, and the machine's next
+        worker be at work by now.
+
+        :param sent_at: monotonic time at which the order was sent
+        :returns: monotonic time; None if it is not known
+        """
+        first_sent_at = self._first_sent_at.get(machine, sent_at)
+        return now if first_sent_at == sent_at else first_sent_at
+
     def complete(self, machines: Mapping[str, Machine]) -> bool:
         """Return whether maintenance has begun on every machine that still exists."""
         present = self.wave.machines & machines.keys()
@@ -301,6 +320,8 @@
     async def _order(self, wave_state: WaveState, machine: Machine) -> None:
         if not self._state_writer.lease_is_fresh:
             return
+        sent_at = clock.steady_s()
+        wave_state.note_sending(machine.name, sent_at)
         outcome = await self._calls.begin_upkeep(
             machine.name, wave_state.wave.number, token=self._token
         )
@@ -318,9 +339,14 @@
         wave_state.apply_outcome(machine.name, outcome, now)
         if outcome is UpkeepOutcome.BUSY:
             self._state_writer.put(wave_state.record_write)
-        if outcome is UpkeepOutcome.BEGUN and ended:
+        known_at = wave_state.end_known_at(machine.name, sent_at, now)
+        if outcome is UpkeepOutcome.BEGUN and ended and known_at is not None:
             self._planner.remove_ended_worker(
-                ended, now=now, unix_s=clock.unix.now_s(), source="order of upkeep"
+                ended,
+                now=now,
+                unix_s=clock.unix.now_s(),
+                known_at=known_at,
+                source="order of upkeep",
             )
             self._on_change()
 
