Make a planner's transactions conditional on the start of its term

What callers may see: two planners that both store state. Cause: the writer takes the revision in the answer to a renewal for that of its lease row. If the answer bears a newer one, that of a successor's acquisition, the next transaction is conditional on the successor's row and takes effect. Change: acquisitions write a row of their own, and each transaction of a term is conditional on it, too. No further call is made.

--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -29,6 +29,9 @@
 
 LEASE_TABLE = "planner"
 LEASE_KEY = "lease"
+# Row that only acquisitions write. A planner's transactions are conditional on it as
+# well, as the answer to a renewal may bear the revision of a successor's acquisition.
+TERM_KEY = "term"
 # Row that each transaction of a planner writes unless it writes the lease row, so that
 # a successor knows the revision of the last one.
 COMMIT_TABLE = "commits"
@@ -273,7 +276,10 @@
         try:
             await self._store.commit(
                 (ExpectedRevision(LEASE_TABLE, LEASE_KEY, present),),
-                (RowWrite(LEASE_TABLE, LEASE_KEY, encode_lease(value)),),
+                (
+                    RowWrite(LEASE_TABLE, LEASE_KEY, encode_lease(value)),
+                    RowWrite(LEASE_TABLE, TERM_KEY, encode_lease(value)),
+                ),
                 timeout_s=CALL_TIMEOUT_S,
             )
         except CommitConflict as conflict:
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -47,6 +47,7 @@
     LEASE_KEY,
     LEASE_TABLE,
     RENEWAL_PERIOD_S,
+    TERM_KEY,
     WORKER_LEASE_HORIZON_S,
     LeaderLease,
     LeaseRow,
@@ -317,7 +318,10 @@
         self._unanswered = names
         try:
             revision = await self._store.commit(
-                (ExpectedRevision(LEASE_TABLE, LEASE_KEY, self._revision),),
+                (
+                    ExpectedRevision(LEASE_TABLE, LEASE_KEY, self._revision),
+                    ExpectedRevision(LEASE_TABLE, TERM_KEY, self._leader_lease.token),
+                ),
                 writes,
                 removals,
                 timeout_s=CALL_TIMEOUT_S,
@@ -409,8 +413,11 @@
         ]
 
     def _resolve_conflict(self, conflict: CommitConflict) -> None:
-        row = next(iter(conflict.rows), None)
+        rows = {each.key: each for each in conflict.rows}
+        row = rows.get(LEASE_KEY)
         lease = decode_lease(row)
+        if TERM_KEY in rows and rows[TERM_KEY].revision != self._leader_lease.token:
+            raise Deposed(lease.holder)
         own = lease.holder == self._leader_lease.holder
         if row is None or not own or lease.token not in (0, self._leader_lease.token):
             raise Deposed(lease.holder)
