Add two more cases of renewals and orders that outlast a restart

Both hold on this code: an end that is dropped unheard, and an order without a session, cost a further run after the first, never two at once.

--- a/libs/planner/tests/test_late_answers.py
+++ b/libs/planner/tests/test_late_answers.py
@@ -61,11 +61,15 @@
     return WorkerSession(name, harness.planner, writer, lease, calls, lambda: None)
 
 
-def ordered_start(harness):
-    """Return the start order of a new job at 15 s."""
+def ordered_start(harness, lease_until=25.5):
+    """Return the start order of a new job at 15 s.
+
+    :param lease_until: end of the worker's lease as the planner knows it
+    """
     harness.now = 15.0
     harness.add(request("new", step()))
     (order,) = harness.plan_starts()
+    harness.planner.workers[order.worker].lease_until = lease_until
     return order
 
 
@@ -88,7 +92,7 @@
     """Guards against two runs of a task: the new life takes a deadline on the former
     life's clock for a lease of 10 s, and the planner counts on the shorter one.
     """
-    order = ordered_start(harness)
+    order = ordered_start(harness, lease_until=15.0)
 
     async def start_run(worker, order, *, token, lease_until_s):
         harness.now = carried_out_at
@@ -223,3 +227,37 @@
     harness.now = 16.0
     apply_list(harness, order.worker, NEW)
     assert not start_elsewhere(harness, order)
+
+
+def test_a_run_whose_end_was_dropped_unheard_is_started_again_once(harness):
+    """Guards against a task that waits for ever, or runs twice at once: an
+    acknowledgement that was meant for the former life drops an end of the new one.
+    """
+    order = ordered_start(harness)
+    harness.now = 15.2
+    harness.answer_start(order)
+    # The heartbeat that carries the acknowledgement was sent before the start.
+    harness.now = 16.0
+    apply_list(harness, order.worker, NEW, sent_at=14.9)
+    assert not start_elsewhere(harness, order)
+    harness.now = 16.7
+    apply_list(harness, order.worker, NEW, sent_at=16.1)
+    assert [each.run for each in start_elsewhere(harness, order)] == [2]
+    harness.now = 17.0
+    apply_list(harness, order.worker, NEW)
+    assert not start_elsewhere(harness, order)
+
+
+def test_an_order_to_a_worker_without_a_session_holds_its_task_until_the_lease_ends(
+    harness,
+):
+    """Guards against a task that waits for ever, or is started while an order for it
+    may be carried out: the order was placed, and there was no session to send it.
+    """
+    order = ordered_start(harness, lease_until=16.0)
+    worker = harness.planner.workers[order.worker]
+    harness.now = 15.9
+    assert not start_elsewhere(harness, order)
+    harness.now = 16.1
+    assert [each.run for each in start_elsewhere(harness, order)] == [2]
+    assert not worker.runs
