Let leases of workers expire only while the planner's own is certain

What callers may see: two runs of one task. Cause: a planner whose renewals the store refuses for seconds does not know its successor, which has taken over its runs and renews the leases of their workers. The former one held the lease of a worker that it could not reach for expired, 10.5 s after its own last grant, and could still start the task on a worker that the successor did not reach. Change: a lease counts as expired once the leader lease has been confirmed after its end.

--- a/libs/planner/src/bilberryhitch_planner/leading_planner.py
+++ b/libs/planner/src/bilberryhitch_planner/leading_planner.py
@@ -204,7 +204,11 @@
             now, unix_s = clock.steady_s(), clock.unix.now_s()
             self._adopt_configuration()
             self.planner.evacuated = self._evacuated()
-            self.planner.tick(now=now, unix_s=unix_s)
+            self.planner.tick(
+                now=now,
+                unix_s=unix_s,
+                lease_confirmed_at=self.state_writer.confirmed_at,
+            )
             may_start = self._may_start(now)
             for order in self.planner.plan(now=now, unix_s=unix_s, may_start=may_start):
                 session = self._sessions.get(order.worker)
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -426,11 +426,19 @@
                 valid_s=advice.valid_s,
             )
 
-    def tick(self, *, now: float, unix_s: float) -> None:
-        """Release runs whose lease has expired and stop stalled runs."""
+    def tick(
+        self, *, now: float, unix_s: float, lease_confirmed_at: float | None = None
+    ) -> None:
+        """Release runs whose lease has expired and stop stalled runs.
+
+        :param lease_confirmed_at: monotonic time at which this planner last certainly
+            held the leader lease; by default now. A successor may have renewed the
+            leases of workers since.
+        """
+        known_until = now if lease_confirmed_at is None else lease_confirmed_at
         for name, worker in list(self.workers.items()):
             recover_speed(worker)
-            if now > worker.lease_until:
+            if known_until > worker.lease_until:
                 if worker.runs:
                     log(
                         events.WORKER_LAPSED,
--- a/libs/planner/src/bilberryhitch_planner/state_writer.py
+++ b/libs/planner/src/bilberryhitch_planner/state_writer.py
@@ -160,6 +160,11 @@
         """Monotonic time beyond which no worker lease may be extended."""
         return self._confirmed_at + WORKER_LEASE_HORIZON_S
 
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time at which this host last certainly held the lease."""
+        return self._confirmed_at
+
     @property
     def lease_is_fresh(self) -> bool:
         """Whether the lease was confirmed too recently for another host to hold it."""
--- a/libs/planner/tests/test_takeover.py
+++ b/libs/planner/tests/test_takeover.py
@@ -34,6 +34,8 @@
 from bilberryhitch_testing import run_virtual
 from bilberryhitch_testing.memory_store import MemoryStore
 from bilberryhitch_testing.planner_harness import (
+    LEASE_S,
+    START_UNIX_S,
     PlannerHarness,
     configuration,
     entry,
@@ -77,6 +79,28 @@
     assert harness.plan_starts() == []
 
 
+def test_a_lease_expires_only_for_a_planner_that_held_its_own_afterwards():
+    """Guards against two runs of a task: a planner whose renewals are refused does not
+    know its successor, which may renew the leases of workers it cannot reach itself.
+    """
+    harness = PlannerHarness(entry("w1"), entry("w2"))
+    for name in ("w1", "w2"):
+        harness.send_heartbeat(name)
+    harness.add(request("j", step()))
+    (order,) = harness.start_all()
+    other = "w2" if order.worker == "w1" else "w1"
+    harness.now = confirmed_at = LEASE_S
+    harness.send_heartbeat(other)
+    harness.now = 1.5 * LEASE_S
+    harness.send_heartbeat(other)
+    for lease_confirmed_at in (confirmed_at, harness.now):
+        harness.planner.tick(
+            now=harness.now, unix_s=0.0, lease_confirmed_at=lease_confirmed_at
+        )
+        starts = harness.planner.plan(now=harness.now, unix_s=START_UNIX_S + 99.0)
+        assert len(starts) == (lease_confirmed_at == harness.now)
+
+
 def test_the_age_of_a_job_counts_from_its_acceptance_before_the_takeover():
     """Guards against jobs accepted during a takeover whose slack looks longer than it
     is, so that they are placed too late.
