Use an acquisition that was stored without an answer

What callers may see: no planner for as long as one host's writes stay unanswered. Cause: since each term has a transaction of its own, a host whose acquisition was stored without an answer acquired again, and each acquisition looked like a renewal to the others. Change: a row of this process under which no term has run is its acquisition. Result: test_an_acquisition_whose_reply_was_lost_is_not_repeated failed before (two transactions); libs/planner and all cases of test_term_orders.py pass. The former token in planner_lease_found is no longer redacted.

--- a/libs/planner/src/bilberryhitch_planner/leader_election.py
+++ b/libs/planner/src/bilberryhitch_planner/leader_election.py
@@ -125,6 +125,8 @@
         self._revision = 0
         self._changed_at = self._tried_at = clock.steady_s()
         self._seen_addresses: tuple[str, ...] = ()
+        # Token of this process's latest term.
+        self._latest_token = 0
 
     @property
     def seen_addresses(self) -> tuple[str, ...]:
@@ -163,6 +165,8 @@
 
     async def _try_acquire(self) -> LeaderLease | None:
         lease = decode_lease(self._row)
+        if self._row is not None and self._is_unanswered_acquisition(self._row, lease):
+            return self._begin_term(self._row, lease, self._changed_at, None)
         if not lease.holder:
             changed = self._precedence_s > 0 and await self._give_precedence()
         elif _host(lease.holder) != _host(self._holder):
@@ -172,8 +176,17 @@
             changed = False
         return None if changed else await self._commit_acquisition(lease)
 
+    def _is_unanswered_acquisition(self, row: StoreRow, lease: LeaseRow) -> bool:
+        """Return whether an acquisition of this process was stored without an answer.
+
+        Nothing has been done under such a row, unlike under one that is left from a
+        term.
+        """
+        own = lease.holder == self._holder and not lease.token
+        return own and row.revision != self._latest_token
+
     def _log_own_row(self, lease: LeaseRow) -> None:
-        """Log that the row names this process.
+        """Log that the row is left from a term of this process.
 
         That gives it no lease: its next term needs a token and a last commit that cover
         all that the former one has done, so it acquires the lease like any other.
@@ -181,7 +194,7 @@
         if lease.holder == self._holder:
             log(
                 events.PLANNER_LEASE_FOUND,
-                former_token=lease.token,
+                former_fencing_token=lease.token,
                 renewal=lease.renewal,
             )
 
@@ -289,30 +302,37 @@
         await self._read()
         if self._row is None or decode_lease(self._row).holder != self._holder:
             return None
+        replaced = present if previous.marks_commits else None
+        return self._begin_term(self._row, previous, former_changed_at, replaced)
+
+    def _begin_term(
+        self,
+        row: StoreRow,
+        previous: LeaseRow,
+        renewed_at: float,
+        replaced_revision: int | None,
+    ) -> LeaderLease:
+        """Return the lease that this process has by an acquisition.
+
+        :param row: row that the acquisition has written
+        :param previous: lease that it replaced, if known
+        """
+        self._latest_token = row.revision
         log(
             events.PLANNER_LEASE_WON,
-            fencing_token=self._row.revision,
+            fencing_token=row.revision,
             former=previous.holder,
-            former_silent_s=round(clock.steady_s() - former_changed_at, 3),
+            former_silent_s=round(clock.steady_s() - renewed_at, 3),
         )
         return LeaderLease(
             self._holder,
-            token=self._row.revision,
-            acquired_at=self._tried_at,
-            renewed_at=former_changed_at,
-            address=self._address,
-            replaced_revision=present if self._marked_commits(previous) else None,
+            row.revision,
+            self._tried_at,
+            renewed_at,
+            self._address,
+            replaced_revision,
         )
 
-    def _marked_commits(self, previous: LeaseRow) -> bool:
-        """Return whether the former holder's last commit can be told from the rows.
-
-        An acquisition of this process that was not answered has replaced a row that
-        may have been another holder's.
-        """
-        unanswered = previous.holder == self._holder and not previous.token
-        return previous.marks_commits and not unanswered
-
     def _observe_row(self, row: StoreRow | None) -> None:
         if row is not None and row.removed:
             row = None
--- a/libs/planner/tests/test_leader_election.py
+++ b/libs/planner/tests/test_leader_election.py
@@ -105,6 +105,20 @@
     run_virtual(run_scenario())
 
 
+def test_an_acquisition_whose_reply_was_lost_is_not_repeated():
+    """Guards against a host that acquires the lease again and again while its replies
+    are lost: each acquisition looks like a renewal to the others, and no host plans.
+    """
+
+    async def run_scenario():
+        store = MemoryStore()
+        store.lose_replies = 1
+        lease = await LeaderElection(store, "a/1").acquire()
+        assert lease.token == store.revision == 1
+
+    run_virtual(run_scenario())
+
+
 def test_after_a_lost_reply_the_lease_row_is_changed_first():
     """Guards against lost progress: a transaction whose reply was lost must not
     overwrite newer rows late.
--- a/libs/telemetry/src/bilberryhitch_telemetry/logs.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/logs.py
@@ -18,7 +18,9 @@
 REDACTED = "[redacted]"
 CREDENTIAL_WORDS = ("token", "authorization", "password", "secret", "credential")
 # Fencing tokens are counters, not credentials, and are needed to trace a takeover.
-NON_CREDENTIAL_FIELDS = frozenset({"fencing_token", "highest_token"})
+NON_CREDENTIAL_FIELDS = frozenset(
+    {"fencing_token", "former_fencing_token", "highest_token"}
+)
 # The burst admits all lines of a takeover of 300 workers with 3,000 runs. A higher
 # steady rate would take more processor time than the work that is logged.
 MAX_BURST_LINES = 4_000
