Soak: sizes, run times, two data centres, list of machines, combined faults

Cause: the soak's tasks worked for 0.8 s and its leases last 10 s, so a run that was wrongly held for over had ended before a second one started. It had three hosts, four workers, no list of machines, and no store that is away for all hosts while most workers are cut off. One module each for the deployment, the faults and the combined faults. The faults' times are kept, with the moments at which a task runs twice and at which the stand-ins were late.

--- a/libs/standins/src/bilberryhitch_standins/simulated_fleet.py
+++ b/libs/standins/src/bilberryhitch_standins/simulated_fleet.py
@@ -223,6 +223,11 @@
         """Number of runs in progress."""
         return len(self._runs)
 
+    @property
+    def tasks(self) -> list[TaskName]:
+        """Tasks of the runs in progress."""
+        return list(self._runs)
+
     @property
     def ends(self) -> list[EndedTask]:
         """Ended tasks that the planner has not acknowledged."""
--- a/tests/path/platform_deployment.py
+++ b/tests/path/platform_deployment.py
@@ -56,16 +56,21 @@
     def __init__(self, folder: Path, work_s: float):
         rng = random.Random(7)
         self.folder = folder
+        self.work_s = work_s
         self.store = StoreStandin(rng)
         self.fleet = FleetStandin(
             self.store,
-            lambda task: TaskProfile(work_s, Resources(1000, 1000, 1), gang_size=1),
+            self.get_profile,
             rng,
             WORKER_PARAMETERS,
         )
         self.hosts = {}
         self.ports = {}
 
+    def get_profile(self, _task):
+        """Return the actual behaviour of a task."""
+        return TaskProfile(self.work_s, Resources(1000, 1000, 1), gang_size=1)
+
     async def start(self, hosts=2, workers=2):
         await self.start_platform(workers)
         for number in range(hosts):
@@ -84,6 +89,10 @@
         """Return the address at which a host reaches the store."""
         return self.store.listener.address
 
+    def get_settings(self, _name):
+        """Return further settings of a host."""
+        return {}
+
     def launch(self, name):
         ports = self.ports.setdefault(name, tuple(free_ports(4)))
         front, ready, metrics, relay = ports
@@ -96,6 +105,7 @@
             "port-range": [relay, relay],
             "platform": {"address": self.get_store_address(name), "row-bytes": 65536},
             "timing-bounds": {"grace-s": 3, "status_s": 120},
+            **self.get_settings(name),
         }
         path = self.folder / f"{name}.jsonc"
         path.write_bytes(msgspec.json.encode(settings))
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """TCP proxy on loopback that delays, resets or drops data in one direction."""
 
 import asyncio
+import random
 from contextlib import suppress
 
 READ_SIZE_BYTES = 65_536
@@ -12,21 +13,25 @@
     A connection whose data was dropped once transfers nothing more in that direction,
     as after a network partition. Connections opened after the fault work.
 
-    :param target: ``ip:port`` of the server
+    :ivar target: ``ip:port`` of the server
     :ivar drop_requests: drop the data that clients send
     :ivar drop_answers: drop the data that the server sends
     :ivar delay_s: delay of every chunk in each direction, in seconds
+    :ivar late_s: new connections reach the server up to this many seconds late, in any
+        order, with what their clients sent before they gave up
     :ivar bytes_per_s: bandwidth of each connection in each direction; None for no limit
     """
 
     def __init__(self, target: str) -> None:
+        self.target = target
         self.drop_requests = False
         self.drop_answers = False
         self.delay_s = 0.0
+        self.late_s = 0.0
         self.bytes_per_s: float | None = None
-        self._target = target
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        self._held: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     @property
@@ -54,6 +59,11 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def drop_held(self) -> None:
+        """Drop the connections that have not reached the server."""
+        for connection in self._held:
+            connection.cancel()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -64,9 +74,10 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        host, _, port = self._target.rpartition(":")
+        host, _, port = self.target.rpartition(":")
         writers = {writer}
         try:
+            await self._hold_back()
             server_reader, server_writer = await asyncio.open_connection(
                 host, int(port)
             )
@@ -84,6 +95,17 @@
                 with suppress(OSError):
                     await each.wait_closed()
 
+    async def _hold_back(self) -> None:
+        if not self.late_s:
+            return
+        connection = asyncio.current_task()
+        assert connection is not None
+        self._held.add(connection)
+        try:
+            await asyncio.sleep(random.uniform(0.0, self.late_s))
+        finally:
+            self._held.discard(connection)
+
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, drop_flag: str
     ) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,118 +7,97 @@
 import argparse
 import asyncio
 import random
-import signal
 import sys
 import tempfile
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 from bilberryhitch_jobs import TaskName
 
-from tests.path.platform_deployment import CONFIGURATION, Deployment, job_body, job_id
-from tests.soak.proxy import Proxy
+from tests.path.platform_deployment import job_body, job_id
+from tests.soak.deployment import ProxiedDeployment
+from tests.soak.faults import Faults
+from tests.soak.incident_faults import IncidentFaults
 
-HOSTS, WORKERS = 3, 4
 JOB_PERIOD_S = 0.35
 FAULT_PERIOD_S = (0.4, 1.4)
 FAULT_DURATION_S = (0.2, 2.5)
-# Accepted jobs end within this time after the last fault: the expiry of a lease
-# (10 s), the takeover by another planner and the run time.
+# Accepted jobs end within this time and three run times after the last fault: the
+# expiry of a lease (10 s), the takeover by another planner and the run time.
 SETTLE_TIMEOUT_S = 45.0
-# Longer than the leader lease and every worker lease that depends on it (12 s).
-LONG_PAUSE_S = 14.0
+# Share of the faults after which the next one waits for the end, in an incident.
+SERIES_SHARE = 0.7
 # Weight of restarts of workers among the kinds of faults.
 RESTART_WEIGHT = 3
-# While no host holds the lease, the planner is looked for again after this time.
-LEADER_POLL_S = 0.1
-
-
-class ProxiedDeployment(Deployment):
-    """A deployment whose hosts reach the store and the workers through proxies."""
-
-    def __init__(self, folder: Path, work_s: float) -> None:
-        super().__init__(folder, work_s)
-        self.proxies: dict[str, Proxy] = {}
-
-    async def start(self, hosts: int, workers: int) -> None:
-        """Start all, with a proxy to the store for each host and one to each worker."""
-        await self.store.start()
-        await self.store.put("op", "config", CONFIGURATION)
-        await self.fleet.start(workers)
-        for name, listener in self.fleet.listeners.items():
-            await self._add_proxy(name, listener.address)
-            self.fleet.addresses[name] = self.proxies[name].address
-            await self.fleet.register(name)
-        for number in range(hosts):
-            await self._add_proxy(f"host-{number}", self.store.listener.address)
-            self.launch(f"host-{number}")
-        self.session = aiohttp.ClientSession()
-        for name in self.hosts:
-            await self.wait_until_ready(name)
-
-    async def close(self) -> None:
-        """Stop the processes, the stand-ins and the proxies."""
-        await super().close()
-        for proxy in self.proxies.values():
-            await proxy.close()
-
-    def get_store_address(self, name: str) -> str:
-        """Return the address at which a host reaches the store."""
-        return self.proxies[name].address
-
-    async def _add_proxy(self, name: str, target: str) -> None:
-        self.proxies[name] = Proxy(target)
-        await self.proxies[name].start()
+# Runs that last take longer than this, so that a task that runs twice is seen.
+RUNS_POLL_S = 0.05
+MAX_LATE_S = 0.3
 
 
-class Soak:
-    """A run with one seed.
+class SoakOptions(NamedTuple):
+    """Size and faults of a run.
 
-    :param folder: folder of the settings files and logs
     :param seconds: time during which jobs are submitted and faults injected
+    :param work_s: least and longest run time of a job's tasks; None for 0.8 s
     :param long_pause: also pause the planner's host once until all its leases have
         expired
     :param restarts: also crash workers that are back soon under their identifiers
+    :param incident: also combined faults; see ``IncidentFaults``
+    """
+
+    seconds: float = 12.0
+    hosts: int = 3
+    workers: int = 4
+    work_s: tuple[float, float] | None = None
+    long_pause: bool = False
+    restarts: bool = False
+    incident: bool = False
+
+
+class Soak:
+    """A run with one seed.
+
+    :param folder: folder of the settings files and logs
     :ivar faults: injected faults, in order
     :ivar violations: descriptions of broken guarantees
     :ivar accepted: identifiers of accepted jobs
     :ivar refused: identifiers of refused jobs
     """
 
-    def __init__(
-        self,
-        folder: Path,
-        seed: int,
-        seconds: float,
-        *,
-        long_pause: bool = False,
-        restarts: bool = False,
-    ) -> None:
-        self.faults: list[str] = []
+    def __init__(self, folder: Path, seed: int, options: SoakOptions) -> None:
         self.violations: list[str] = []
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
+        self._options = options
         self._rng = random.Random(seed)
-        self._deployment = ProxiedDeployment(folder, work_s=0.8)
-        self._seconds = seconds
-        self._long_pause = long_pause
-        self._restarts = restarts
+        self._deployment = ProxiedDeployment(folder, random.Random(seed))
+        self._faults = Faults(self._deployment, self._rng)
         self._pending: set[asyncio.Task[None]] = set()
-        self._restarting: set[str] = set()
+
+    @property
+    def faults(self) -> list[str]:
+        """Injected faults with their times, in order."""
+        return self._faults.injected
 
     async def run(self) -> None:
         """Inject the faults, wait for the accepted jobs and check the guarantees."""
-        await self._deployment.start(hosts=HOSTS, workers=WORKERS)
+        options = self._options
+        await self._deployment.start(hosts=options.hosts, workers=options.workers)
+        duplicates = asyncio.create_task(self._record_duplicates())
         try:
-            until = time.monotonic() + self._seconds
-            if self._long_pause:
-                self._pending.add(asyncio.create_task(self._pause_past_leases()))
+            until = time.monotonic() + options.seconds
+            if options.long_pause:
+                pause = self._faults.pause_past_leases(options.seconds / 2)
+                self._pending.add(asyncio.create_task(pause))
             await asyncio.gather(self._submit(until), self._inject_faults(until))
             await asyncio.gather(*self._pending)
             await self._wait_for_jobs()
             self._check_state()
         finally:
+            duplicates.cancel()
+            await asyncio.gather(duplicates, return_exceptions=True)
             await self._deployment.close()
 
     async def _submit(self, until: float) -> None:
@@ -127,8 +106,13 @@
             number += 1
             name = job_id(number)
             gang = self._rng.random() < 0.4
-            content = job_body(self._rng.randint(1, 4), gang=gang)
+            count = self._rng.randint(1, 4)
             host = self._rng.choice(sorted(self._deployment.hosts))
+            content = job_body(count, gang=gang)
+            if self._options.work_s is not None:
+                work_s = self._rng.uniform(*self._options.work_s)
+                self._deployment.set_work(name, work_s, count if gang else 1)
+                content = job_body(count, gang=gang, **estimate(work_s))
             task = asyncio.create_task(self._submit_job(name, host, content))
             self._pending.add(task)
             await asyncio.sleep(JOB_PERIOD_S)
@@ -147,149 +131,44 @@
             self.refused.add(name)
 
     async def _inject_faults(self, until: float) -> None:
-        kinds = [
-            self._kill,
-            self._pause,
-            self._stop,
-            self._store_fault,
-            self._silence_worker,
-            self._drop_store_history,
-            self._reset,
-            self._drop_one_direction,
-            self._delay,
-        ]
-        if self._restarts:
-            kinds += [self._restart_worker] * RESTART_WEIGHT
+        kinds = list(self._faults.basic)
+        if self._options.restarts:
+            kinds += [self._faults.restart_worker] * RESTART_WEIGHT
+        if self._options.incident:
+            kinds += IncidentFaults(self._faults, self._rng).kinds
         while time.monotonic() < until:
             await asyncio.sleep(self._rng.uniform(*FAULT_PERIOD_S))
             fault = self._rng.choice(kinds)
-            self._pending.add(
-                asyncio.create_task(fault(self._rng.uniform(*FAULT_DURATION_S)))
-            )
-
-    async def _kill(self, seconds: float) -> None:
-        name = self._choose_host()
-        self._record_fault(f"kill {name}")
-        process = self._deployment.hosts[name]
-        process.kill()
-        await asyncio.to_thread(process.wait)
-        await asyncio.sleep(seconds)
-        self._relaunch(name)
-
-    async def _pause(self, seconds: float) -> None:
-        name = self._choose_host()
-        self._record_fault(f"pause {name} {seconds:.1f}")
-        process = self._deployment.hosts[name]
-        if process.poll() is None:
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(seconds * 2)
-            process.send_signal(signal.SIGCONT)
-
-    async def _pause_past_leases(self) -> None:
-        """Pause the planner's host for so long that it wakes with expired leases."""
-        await asyncio.sleep(self._rng.uniform(0.0, self._seconds / 2))
-        name = self._find_leader()
-        while name is None:
-            await asyncio.sleep(LEADER_POLL_S)
-            name = self._find_leader()
-        process = self._deployment.hosts[name]
-        self._record_fault(f"pause planner {name} {LONG_PAUSE_S:.1f}")
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(LONG_PAUSE_S)
-        process.send_signal(signal.SIGCONT)
-
-    async def _stop(self, seconds: float) -> None:
-        name = self._choose_host()
-        self._record_fault(f"stop {name}")
-        process = self._deployment.hosts[name]
-        if process.poll() is None:
-            process.send_signal(signal.SIGTERM)
-            await asyncio.to_thread(process.wait)
-        await asyncio.sleep(seconds / 4)
-        self._relaunch(name)
-
-    async def _store_fault(self, seconds: float) -> None:
-        listener = self._deployment.store.listener
-        kind = self._rng.choice(["refusing", "silent", "lost", "slow"])
-        self._record_fault(f"store {kind} {seconds:.1f}")
-        if kind == "lost":
-            listener.lost_share = 0.3
-        elif kind == "slow":
-            listener.delay_s = 0.2
-        else:
-            setattr(listener, kind, True)
-        await asyncio.sleep(seconds)
-        listener.refusing = listener.silent = False
-        listener.lost_share = listener.delay_s = 0.0
-
-    async def _silence_worker(self, seconds: float) -> None:
-        name = self._rng.choice(sorted(self._deployment.fleet.listeners))
-        self._record_fault(f"cut {name} {seconds:.1f}")
-        listener = self._deployment.fleet.listeners[name]
-        listener.silent = True
-        await asyncio.sleep(seconds * 3)
-        listener.silent = False
-
-    async def _restart_worker(self, seconds: float) -> None:
-        name = self._rng.choice(sorted(self._deployment.fleet.listeners))
-        if name in self._restarting:
-            return
-        self._record_fault(f"restart {name} {seconds / 4:.2f}")
-        self._restarting.add(name)
-        await self._deployment.fleet.restart(name, seconds / 4)
-        self._restarting.discard(name)
-
-    async def _reset(self, _seconds: float) -> None:
-        names = sorted(self._deployment.proxies)
-        chosen = self._rng.sample(names, self._rng.randint(1, len(names)))
-        self._record_fault(f"reset connections of {', '.join(chosen)}")
-        for name in chosen:
-            self._deployment.proxies[name].reset()
-
-    async def _drop_one_direction(self, seconds: float) -> None:
-        name = self._rng.choice(sorted(self._deployment.proxies))
-        drop_flag = self._rng.choice(["drop_requests", "drop_answers"])
-        self._record_fault(f"{drop_flag} of {name} {seconds:.1f}")
-        setattr(self._deployment.proxies[name], drop_flag, True)
-        await asyncio.sleep(seconds * 2)
-        setattr(self._deployment.proxies[name], drop_flag, False)
-
-    async def _delay(self, seconds: float) -> None:
-        name = self._rng.choice(sorted(self._deployment.proxies))
-        self._record_fault(f"delay {name} {seconds:.1f}")
-        self._deployment.proxies[name].delay_s = self._rng.uniform(0.05, 0.4)
-        await asyncio.sleep(seconds * 2)
-        self._deployment.proxies[name].delay_s = 0.0
-
-    async def _drop_store_history(self, _seconds: float) -> None:
-        self._record_fault("store forgets its history")
-        self._deployment.store.forget_history()
-
-    def _choose_host(self) -> str:
-        """Return a random host; that of the active planner is preferred."""
-        names = sorted(self._deployment.hosts)
-        prefer_leader = self._rng.random() < 0.5
-        leader = self._find_leader()
-        return leader if prefer_leader and leader else self._rng.choice(names)
-
-    def _find_leader(self) -> str | None:
-        """Return the host that holds the planner's lease, if there is one."""
-        if "lease" not in self._deployment.store.rows("planner"):
-            return None
-        leader = self._deployment.leader()
-        return leader if leader in self._deployment.hosts else None
-
-    def _relaunch(self, name: str) -> None:
-        if self._deployment.hosts[name].poll() is not None:
-            self._deployment.launch(name)
-
-    def _record_fault(self, fault: str) -> None:
-        self.faults.append(fault)
+            seconds = self._rng.uniform(*FAULT_DURATION_S)
+            task = asyncio.create_task(fault(seconds))
+            self._pending.add(task)
+            if self._options.incident and self._rng.random() < SERIES_SHARE:
+                await asyncio.wait((task,))
+
+    async def _record_duplicates(self) -> None:
+        """Note among the faults when a task runs twice, and where, and when the store
+        and the workers, which share this process, were kept from answering.
+        """
+        fleet, known = self._deployment.fleet.fleet, 0
+        polled_at = time.monotonic()
+        while True:
+            late_s = time.monotonic() - polled_at - RUNS_POLL_S
+            if late_s > MAX_LATE_S:
+                self._faults.record(f"stand-ins late {late_s:.2f}")
+            polled_at = time.monotonic()
+            for task in fleet.duplicate_runs[known:]:
+                on = [
+                    name for name, each in fleet.workers.items() if task in each.tasks
+                ]
+                self._faults.record(f"RUNS TWICE: {_format_task(task)} on {on}")
+            known = len(fleet.duplicate_runs)
+            await asyncio.sleep(RUNS_POLL_S)
 
     async def _wait_for_jobs(self) -> None:
         for name in list(self._deployment.hosts):
-            self._relaunch(name)
-        until = time.monotonic() + SETTLE_TIMEOUT_S
+            self._faults.relaunch(name)
+        longest_s = self._options.work_s[1] if self._options.work_s else 0.0
+        until = time.monotonic() + SETTLE_TIMEOUT_S + 3 * longest_s
         unfinished = set(self.accepted)
         while unfinished and time.monotonic() < until:
             for name in sorted(unfinished):
@@ -330,17 +209,24 @@
         ]
 
 
+def estimate(work_s: float) -> dict[str, int]:
+    """Return the estimate in a step whose tasks run for a time in seconds."""
+    return {"estimate-ms": int(work_s * 1000)}
+
+
 def _format_task(task: TaskName) -> str:
     return ".".join(str(part) for part in task)
 
 
-def run_seed(
-    seed: int, seconds: float, *, long_pause: bool = False, restarts: bool = False
-) -> Soak:
-    """Run a seed in a new folder, which is printed if a guarantee was broken."""
-    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(folder, seed, seconds, long_pause=long_pause, restarts=restarts)
+def run_seed(seed: int, options: SoakOptions, logs: Path | None = None) -> Soak:
+    """Run a seed in a new folder, which is printed if a guarantee was broken.
+
+    :param logs: parent of the folder; by default that of temporary files
+    """
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=logs))
+    soak = Soak(folder, seed, options)
     asyncio.run(soak.run())
+    (folder / "faults.txt").write_text("\n".join([*soak.faults, *soak.violations]))
     if soak.violations:
         sys.stdout.write(f"seed {seed}: logs in {folder}\n")
     return soak
@@ -351,6 +237,11 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", default="1-5", help="first-last")
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--hosts", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument(
+        "--work", metavar="LEAST-LONGEST", help="run time of a job's tasks in seconds"
+    )
     parser.add_argument(
         "--long-pause",
         action="store_true",
@@ -361,16 +252,27 @@
         action="store_true",
         help="also crash workers that are back soon under their identifiers",
     )
+    parser.add_argument(
+        "--incident",
+        action="store_true",
+        help="also combine lost planners, late orders, outages and cut workers",
+    )
+    parser.add_argument("--logs", type=Path, help="existing folder that keeps the logs")
     arguments = parser.parse_args()
+    least, _, longest = (arguments.work or "").partition("-")
+    options = SoakOptions(
+        seconds=arguments.seconds,
+        hosts=arguments.hosts,
+        workers=arguments.workers,
+        work_s=(float(least), float(longest or least)) if least else None,
+        long_pause=arguments.long_pause,
+        restarts=arguments.restarts,
+        incident=arguments.incident,
+    )
     first, _, last = arguments.seeds.partition("-")
     failed_seeds = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = run_seed(
-            seed,
-            arguments.seconds,
-            long_pause=arguments.long_pause,
-            restarts=arguments.restarts,
-        )
+        soak = run_seed(seed, options, arguments.logs)
         failed_seeds += bool(soak.violations)
         verdict = "; ".join(soak.violations) or "ok"
         sys.stdout.write(
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -70,3 +70,31 @@
             raise ConnectionResetError
 
     run_with_proxy(scenario)
+
+
+def test_late_connection_delivers_what_its_client_sent_before_it_gave_up():
+    """Guards against late orders that are lost in the proxy instead of carried out."""
+    received = []
+
+    async def keep(reader, writer):
+        received.append(await reader.read(100))
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(keep, "127.0.0.1", 0)
+        proxy = Proxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await proxy.start()
+        proxy.late_s = 0.2
+        host, _, port = proxy.address.rpartition(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"order")
+            await writer.drain()
+            writer.close()
+            await asyncio.sleep(0.4)
+            assert received == [b"order"]
+        finally:
+            await proxy.close()
+            server.close()
+
+    asyncio.run(run())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.soak.soak import run_seed
+from tests.soak.soak import SoakOptions, run_seed
 
 
 # Seed 2: a suspended planner resumed, found itself isolated and was stopped in the same
@@ -11,7 +11,7 @@
 # process never ended.
 @pytest.mark.parametrize("seed", [1, 2, 127])
 def test_guarantees_hold_under_random_faults(seed):
-    soak = run_seed(seed, seconds=8.0)
+    soak = run_seed(seed, SoakOptions(seconds=8.0))
     assert soak.faults
     assert soak.accepted
     assert soak.violations == []
@@ -19,7 +19,7 @@
 
 def test_a_planner_that_wakes_after_all_its_leases_breaks_no_guarantee():
     """Guards against orders on a permission that ran out while the host was paused."""
-    soak = run_seed(3, seconds=8.0, long_pause=True)
+    soak = run_seed(3, SoakOptions(seconds=8.0, long_pause=True))
     assert any(fault.startswith("pause planner") for fault in soak.faults)
     assert soak.accepted
     assert soak.violations == []
@@ -30,7 +30,7 @@
     """Guards against answers of a former life that are taken for those of the new one,
     beside lost planners, delays and resets.
     """
-    soak = run_seed(seed, seconds=8.0, restarts=True)
+    soak = run_seed(seed, SoakOptions(seconds=8.0, restarts=True))
     assert any(fault.startswith("restart") for fault in soak.faults)
     assert soak.accepted
     assert soak.violations == []
