--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -34,3 +34,14 @@
     assert any(fault.startswith("restart") for fault in soak.faults)
     assert soak.accepted
     assert soak.violations == []
+
+
+def test_guarantees_hold_while_the_store_and_most_workers_are_away():
+    """Guards against a task that runs twice, as an isolated planner that could not
+    release its lease plans again; tasks last long enough to be seen twice.
+    """
+    options = SoakOptions(seconds=12.0, workers=8, work_s=(4.0, 8.0), incident=True)
+    soak = run_seed(3, options)
+    assert any(fault.startswith("isolation") for fault in soak.faults)
+    assert soak.accepted
+    assert soak.violations == []
