--- a/tests/soak/machine_list.py
+++ b/tests/soak/machine_list.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -26,6 +27,7 @@
         self._rng = rng
         self._listener = Listener(self._handle, rng)
         self._workers: list[str] = []
+        self._read_at = 0.0
         self._reader: asyncio.Task[None] | None = None
 
     @property
@@ -36,7 +38,7 @@
     async def start(self) -> None:
         """Start the HTTP server."""
         await self._listener.start()
-        self._reader = asyncio.create_task(self._read())
+        self._reader = asyncio.create_task(self._run())
 
     async def close(self) -> None:
         """Stop the HTTP server."""
@@ -45,14 +47,20 @@
             await asyncio.gather(self._reader, return_exceptions=True)
         await self._listener.close()
 
-    async def _read(self) -> None:
+    async def _run(self) -> None:
         while True:
-            self._workers = sorted(self._living())
+            self._read()
             await asyncio.sleep(self._rng.uniform(0.2, MAX_AGE_S))
 
+    def _read(self) -> None:
+        self._workers = sorted(self._living())
+        self._read_at = time.monotonic()
+
     async def _handle(self, request: web.Request) -> web.Response:
         if not request.path.endswith("/machines"):
             return web.Response(status=400)
+        if time.monotonic() - self._read_at > MAX_AGE_S:
+            self._read()
         first = int(request.query.get("page-token", 0))
         page = self._workers[first : first + PAGE_SIZE]
         document = {
