--- a/libs/testing/src/bilberryhitch_testing/virtual_time.py
+++ b/libs/testing/src/bilberryhitch_testing/virtual_time.py
@@ -46,11 +46,12 @@
     try:
         return loop.run_until_complete(main)
     finally:
-        _cancel_tasks(loop)
+        cancel_tasks(loop)
         loop.close()
 
 
-def _cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
+def cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel all tasks of a loop and wait for their ends."""
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
