Failing test: a lease that a successor renews is taken for expired

Cause: a planner whose writes are refused, while the store serves its feeds, does not know its successor. It does not reach the worker of a run; the successor does and renews the worker's lease. 10.5 s after its own last grant Planner.tick releases the run (worker_lapsed), and LeadingPlanner._may_start still allows starts (last renewal 10.5 s ago at most, registrations fresh), so it starts the task on a worker that the successor does not reach.

The test plays that with two hosts and two workers and the real terms. It fails: two runs at once, both ordered by the same process under one token. No product code is changed.

--- a/libs/planner/tests/test_successive_terms.py
+++ b/libs/planner/tests/test_successive_terms.py
@@ -20,7 +20,9 @@
     read_last_commit,
     read_roster,
 )
+from bilberryhitch_standins.simulated_fleet import TaskProfile
 from bilberryhitch_testing import run_virtual
+from bilberryhitch_testing.faulty_store import StoreOutage
 from bilberryhitch_testing.memory_store import MemoryStore
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
@@ -29,6 +31,7 @@
     request,
     step,
 )
+from bilberryhitch_testing.term_plays import Play, run_play
 
 JOB = "00000000000000a1"
 
@@ -356,3 +359,31 @@
         assert all(order.worker in stored for order in orders)
 
     run_virtual(run_scenario())
+
+
+def test_a_lease_that_a_successor_renews_has_not_expired():
+    """Guards against a second run of a task: a planner whose writes are refused does
+    not know its successor, holds the lease of a worker that only the successor
+    reaches for expired, and starts the task on a worker that only it reaches itself.
+    """
+    play = Play(1, 2, 2, 60.0, (), single_faults=False)
+
+    def script(world):
+        world.loop.spawn_outside(_cut_planners_from_each_other(world))
+
+    assert run_play(play, on_world=script, jobs=False) == []
+
+
+async def _cut_planners_from_each_other(world):
+    await asyncio.sleep(2.0)
+    job = request("00000000000000a1", step())
+    job = job._replace(accepted_s=clock.unix.now_s())
+    world.submit(job, TaskProfile(25.0, job.steps[0].reserved_resources))
+    await asyncio.sleep(2.0)
+    former = world.leader()
+    successor = next(host for host in world.hosts if host != former)
+    runs_at = world.starts[0].worker
+    idle = "w1" if runs_at == "w0" else "w0"
+    world.cut |= {(former, runs_at), (successor, idle)}
+    await asyncio.sleep(3.0)
+    world.store.outages.append(StoreOutage(former, silent=False, writes_only=True))
