--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -256,6 +256,37 @@
     run_virtual(run_scenario())
 
 
+def test_a_repeated_order_ends_no_run_that_was_started_while_its_wave_was_withdrawn():
+    """Guards against two runs of a task: the answer to an order was lost, its wave was
+    withdrawn, and the worker, back under its identifier, got work before the wave
+    returned. The order is answered as done, and the work counts as ended.
+    """
+
+    async def run_scenario():
+        harness, writer = PlannerHarness(entry("i-a")), ImmediateStateWriter()
+        harness.send_heartbeat("i-a", born_ms=1)
+        requested = [(wave("a"),)]
+        controller = upkeep(
+            FakeMachines("a", lost=1), writer, harness, waves=lambda: requested[-1]
+        )
+        running = asyncio.create_task(controller.run())
+        await asyncio.sleep(0.9)
+        requested.append(())
+        await asyncio.sleep(1.0)
+        harness.now = clock.steady_s()
+        harness.send_heartbeat("i-a", born_ms=2)
+        harness.add(request("j", step()))
+        (order,) = harness.start_all()
+        requested.append((wave("a"),))
+        await asyncio.sleep(1.0)
+        running.cancel()
+        (unit,) = harness.planner.jobs["j"].units
+        assert unit.runs
+        assert (order.task, order.run) in harness.planner.workers["i-a"].runs
+
+    run_virtual(run_scenario())
+
+
 @pytest.mark.parametrize("changed", [(), (wave("b"),)], ids=["withdrawn", "reduced"])
 def test_a_machine_that_is_no_longer_to_go_down_gets_work_again(changed):
     """Guards against workers that get no work for as long as the planner leads, as the
