--- a/libs/testing/src/bilberryhitch_testing/lives_world.py
+++ b/libs/testing/src/bilberryhitch_testing/lives_world.py
@@ -25,6 +25,7 @@
 from bilberryhitch_jobs.job_operations import JOBS_TABLE
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
+    LeaderElection,
     LeaderLease,
     LeadingPlanner,
     Machine,
@@ -32,12 +33,6 @@
     WorkerEntry,
 )
 from bilberryhitch_planner.errors import Isolated
-from bilberryhitch_planner.leader_election import (
-    LEASE_KEY,
-    LEASE_TABLE,
-    LeaseRow,
-    encode_lease,
-)
 from bilberryhitch_planner.runs import Run
 from bilberryhitch_planner.workers import Worker
 from bilberryhitch_standins.simulated_fleet import (
@@ -263,10 +258,8 @@
             self.lives.begin(each, self._draw_clock())
             self._register(each)
         now = asyncio.get_running_loop().time()
-        self._store.put(
-            LEASE_TABLE, LEASE_KEY, encode_lease(LeaseRow("a/1", 0, 0, "", True))
-        )
-        lease = LeaderLease("a/1", self._store.revision, now, now - 60.0)
+        election = LeaderElection(self._store, "a/1")
+        lease = (await election.acquire())._replace(renewed_at=now - 60.0)
         self._planner = self._create_planner(lease)
         with self._watch_releases():
             tasks: list[asyncio.Task[Any]] = [
