--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -108,7 +108,12 @@
         await asyncio.sleep(seconds)
         listener.lost_share = listener.delay_s = 0.0
         if not self.store_lock.locked():
-            listener.refusing = listener.silent = False
+            self.bring_store_back()
+
+    def bring_store_back(self) -> None:
+        """Let the store answer again, whichever fault has taken it away."""
+        listener = self.deployment.store.listener
+        listener.refusing = listener.silent = False
 
     async def silence_worker(self, seconds: float) -> None:
         """Keep a worker from answering for three times the time."""
--- a/tests/soak/incident_faults.py
+++ b/tests/soak/incident_faults.py
@@ -118,7 +118,7 @@
             for name in names:
                 await fleet.unregister(name)
             await asyncio.sleep(seconds)
-            listener.refusing = False
+            self._faults.bring_store_back()
         await asyncio.sleep(self._rng.uniform(0.0, ROWS_BACK_S))
         for name in names:
             if fleet.fleet.workers[name].alive:
@@ -146,7 +146,7 @@
             setattr(listener, kind, True)
             cut = asyncio.create_task(self._faults.cut(names, workers_s))
             await asyncio.sleep(store_s)
-            setattr(listener, kind, False)
+            self._faults.bring_store_back()
             await cut
 
     async def _wait_for_old_term(self) -> None:
