Let the process test outlast the release of the isolated planner

Since the release is repeated for 1.5 s, the store that came back after 1 s got it, and the test no longer met its own lease row.

--- a/tests/path/test_term_after_isolation.py
+++ b/tests/path/test_term_after_isolation.py
@@ -14,8 +14,8 @@
 WORK_S = 8.5
 # A new planner overlooks silent workers for 3 s.
 SETTLE_S = 3.5
-# An isolated planner pauses for 2 s.
-STORE_BACK_S = 1.0
+# An isolated planner tries to release its lease for 1.5 s, and pauses for 2 s then.
+STORE_BACK_S = 2.5
 TERM_TIMEOUT_S = 12.0
 POLL_S = 0.05
 ATTEMPTS = 20
