--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import os
 import random
@@ -27,6 +28,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TICK_S = 0.02
 HEARTBEAT_S = 1.5
+UPKEEP_S = 2.0
 STOP_S = 0.2
 MAX_LEASE_S = 10.0
 READY_ATTEMPTS, READY_PAUSE_S = 300, 0.1
@@ -87,6 +89,9 @@
         self.number = number
         self.work_s = float(spec.get("work_s", 1.0))
         self.lasting = bool(spec.get("lasting"))
+        self.fail_s = float(spec.get("fail_s", 0.0))
+        self.save_s = float(spec.get("save_s", 0.0))
+        self.saved_chars = int(spec.get("saved_chars", 16))
         self.began_at = time.monotonic()
         self.stop_at: float | None = None
 
@@ -95,6 +100,17 @@
         """Work done; that of a lasting task is its share at work."""
         return min(100, int(100 * (time.monotonic() - self.began_at) / self.work_s))
 
+    @property
+    def saved(self) -> str:
+        """Name of the last saved state; empty without one."""
+        saves = (
+            int((time.monotonic() - self.began_at) / self.save_s) if self.save_s else 0
+        )
+        if not saves:
+            return ""
+        text = f"{self.task}/{self.number}/{saves}".encode()
+        return hashlib.sha256(text).hexdigest()[: self.saved_chars]
+
 
 class Executor:
     """One executor; ``restart`` begins another life under its identifier."""
@@ -111,9 +127,12 @@
         self.runs: dict[str, Run] = {}
         self._fleet = fleet
         self._runner: web.AppRunner | None = None
+        self._transports: set[asyncio.BaseTransport] = set()
+        self._life = 0
         self._begin_life()
 
     def _begin_life(self) -> None:
+        self._life += 1
         self.born = int(time.time() * 1000)
         self._clock_base = time.monotonic()
         self._ends: list[list[Any]] = []
@@ -159,6 +178,11 @@
     async def crash(self, why: str) -> None:
         """End at once, with everything that runs here."""
         self.alive = False
+        # Nothing is answered any more, not even a call that is held open.
+        self._life += 1
+        for transport in self._transports:
+            transport.abort()  # type: ignore[attr-defined]
+        self._transports.clear()
         self._fleet.record.add(
             "executor-ends", executor=self.name, why=why, runs=sorted(self.runs)
         )
@@ -177,6 +201,8 @@
                 self._end(run, "lapsed")
             elif run.stop_at is not None and now >= run.stop_at:
                 self._end(run, "stopped")
+            elif run.fail_s and now - run.began_at >= run.fail_s:
+                self._end(run, "failed")
             elif not run.lasting and now - run.began_at >= run.work_s:
                 self._end(run, "done")
 
@@ -184,7 +210,8 @@
         del self.runs[run.task]
         self._closed[run.task] = max(run.number, self._closed.get(run.task, 0))
         self._end_count += 1
-        self._ends.append([self._end_count, run.task, run.number, how, ""])
+        saved = "" if how == "done" else run.saved
+        self._ends.append([self._end_count, run.task, run.number, how, saved])
         self._fleet.note_end(self, run, how)
 
     def _clock_ms(self) -> int:
@@ -200,9 +227,14 @@
         self._lease_until = max(self._lease_until, min(until, now + MAX_LEASE_S))
 
     async def _handle(self, request: web.Request) -> web.Response:
+        life = self._life
+        if request.transport is not None:
+            self._transports.add(request.transport)
         if request.headers.get("Target-Instance") != self.name:
             return web.Response(status=MISDIRECTED)
         body = await request.json()
+        if life != self._life:
+            raise ConnectionResetError
         token = body.get("fencing-token", 0)
         if token < self._token:
             return self._reply(409, reason="fence")
@@ -249,7 +281,8 @@
                 break
             await asyncio.sleep(TICK_S)
         running = [
-            [run.task, run.number, "", run.percent, 0] for run in self.runs.values()
+            [run.task, run.number, run.saved, run.percent, 0]
+            for run in self.runs.values()
         ]
         return self._reply(running=running, finished=self._ends[:500])
 
@@ -341,11 +374,113 @@
                     executor.advance()
 
 
+class MachineApi:
+    """The platform's list of machines and its order of upkeep; it checks no fences.
+
+    :ivar begun: time, machine and tasks of each upkeep that has begun
+    :ivar orders: time, machine, holder and fencing token of each order
+    """
+
+    def __init__(self, fleet: Fleet, record: Record) -> None:
+        self.address = f"127.0.0.1:{free_port()}"
+        self.wave: dict[str, Any] = {}
+        self.begun: list[tuple[float, str, list[str]]] = []
+        self.orders: list[tuple[float, str, str, int]] = []
+        self._fleet = fleet
+        self._record = record
+        self._done: set[str] = set()
+        self._down: set[str] = set()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application()
+        app.router.add_get("/bilberryhitch/machines", self._list)
+        app.router.add_post("/bilberryhitch/machine-upkeep", self._begin)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
+        await self._runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _machines(self) -> dict[str, Executor]:
+        # Of several executors of one machine the last is the present one.
+        return {each.machine: each for each in self._fleet.executors.values()}
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        machines = [
+            {
+                "machine": name,
+                "pool": "pool",
+                "state": "upkeep" if name in self._down else "up",
+                "zone": "dc",
+                "labels": ["a", executor.rack],
+                "capacity": {"cpu": 32_000, "mem-mb": 64_000, "gpu": 8},
+                "id": executor.name if executor.alive else "",
+            }
+            for name, executor in self._machines().items()
+        ]
+        return web.json_response({"machines": machines, "next-token": None})
+
+    async def _begin(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        name = body["machine"]
+        status, reason = self._judge(name, body["wave"])
+        holder = request.headers.get("Lease-Holder", "")
+        token = int(request.headers.get("Fencing-Token", 0))
+        at = self._record.add(
+            "upkeep-order",
+            machine=name,
+            holder=holder,
+            token=token,
+            status=status,
+            reason=reason,
+        )
+        self.orders.append((at, name, holder, token))
+        if status == OK and name not in self._done:
+            self._done.add(name)
+            self._down.add(name)
+            executor = self._machines()[name]
+            self.begun.append((self._record.now, name, sorted(executor.runs)))
+            await self._fleet.lose(executor, "upkeep")
+            self._fleet.spawn(self._return(executor))
+        return web.json_response({"reason": reason} if reason else {}, status=status)
+
+    def _judge(self, name: str, wave: int) -> tuple[int, str]:
+        if name not in self._machines():
+            return 400, "none"
+        if name in self._done:
+            return OK, ""
+        if wave != self.wave.get("wave") or name not in self.wave["machines"]:
+            return 409, "wave"
+        return (409, "busy") if name in self._down else (OK, "")
+
+    async def _return(self, executor: Executor) -> None:
+        await asyncio.sleep(UPKEEP_S)
+        await self._fleet.add(executor.machine, executor.rack)
+        self._down.discard(executor.machine)
+
+
 class Hosts:
-    """Processes of the entry hosts, started by the command of the deploy file."""
+    """Processes of the entry hosts, started by the command of the deploy file.
+
+    :param between: addresses of the store and the machine API for single hosts, as
+        for those behind a proxy
+    """
 
-    def __init__(self, record: Record, store: str, cloud: str = "") -> None:
+    def __init__(
+        self,
+        record: Record,
+        store: str,
+        cloud: str = "",
+        between: dict[str, tuple[str, str]] | None = None,
+    ) -> None:
         self.record = record
+        self._between = between or {}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.session = aiohttp.ClientSession()
         self._store = store
@@ -436,6 +571,7 @@
         self, name: str, front: int, ready: int, metrics: int
     ) -> dict[str, Any]:
         between = self._ports[name][3]
+        store, cloud = self._between.get(name, (self._store, self._cloud))
         return {
             "node-name": name,
             "role": "entry-host",
@@ -466,12 +602,12 @@
             },
             "orders": "invoke",
             "platform": {
-                "address": self._store,
+                "address": store,
                 "form": "table",
                 "row-bytes": 65536,
                 "tx-ms": 3.0,
             },
-            "cloud-api": {"address": self._cloud} if self._cloud else {},
+            "cloud-api": {"address": cloud} if cloud else {},
         }
 
     async def _wait_until_ready(self, name: str) -> None:
@@ -518,9 +654,11 @@
 def main(case: Callable[[Record], Awaitable[int]], folder: Path) -> None:
     """Run a case and end with its exit code."""
     record = Record(folder)
+    # The case ends its processes also if it is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = asyncio.run(asyncio.wait_for(case(record), 115))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.add("not-run", error=repr(error))
         code = NOT_RUN
     record.add("exit", code=code, trouble=int(troubled()))
