--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A wave of upkeep takes down both tasks of a step of which one may be missing."""
+"""A lasting job whose tasks keep failing keeps all other jobs from ever starting."""
 
 import asyncio
 import random
@@ -11,7 +11,6 @@
     OK,
     Fleet,
     Hosts,
-    MachineApi,
     Record,
     StoreStandin,
     configuration,
@@ -21,94 +20,100 @@
 )
 
 WORKERS = 8
-JOB = job_id(1)
-TASKS = (f"{JOB}.0.0.0", f"{JOB}.0.0.1")
-MAY_MISS = 1
-# From the start of a lasting task until it is at work.
-STARTUP_S = 1.0
-BODY = {
-    "spec": f'{{"lasting": true, "work_s": {STARTUP_S}}}',
+WORKER_GPUS, WORKER_CPU = 8, 32_000
+FAIL_S = 1.0
+LASTING = job_id(1)
+FAILS = f', "fail_s": {FAIL_S}' if troubled() else ""
+LASTING_BODY = {
+    "spec": f'{{"lasting": true, "work_s": 0.5{FAILS}}}',
     "steps": [
         {
-            "count": 2,
-            "cpu": 1000,
-            "mem-mb": 1000,
+            "count": WORKERS,
+            "cpu": 500,
+            "mem-mb": 500,
             "gpu": 1,
             "estimate-ms": 1000,
             "anti-affinity": 1,
             "long-running": True,
-            "may-miss": MAY_MISS,
         }
     ],
 }
+JOBS = [job_id(number) for number in range(2, 10)]
+BODY = {
+    "spec": '{"work_s": 1.0}',
+    "steps": [{"count": 1, "cpu": 1000, "mem-mb": 1000, "gpu": 1, "estimate-ms": 1000}],
+}
+TENANT_B = {"Authorization": "Token key-b", "Host": "jobs.example"}
+# ``finish_s``, and the time after it in which a job may have nothing running.
+FINISH_S = 14.0
+IDLE_S = 3.0
+WATCH_S = 12.0
+SAMPLE_S = 0.1
 
 
 async def case(record: Record) -> int:
-    """Play the wave and compare the orders of upkeep with ``may-miss``."""
+    """Hand jobs in beside the lasting one and see whether they are ever started."""
     store = StoreStandin(random.Random(1))
     await store.start()
     await store.put("op", "config", configuration())
     fleet = Fleet(store, record)
-    cloud = MachineApi(fleet, record)
-    await cloud.start()
     await fleet.start(WORKERS)
-    hosts = Hosts(record, store.listener.address, cloud.address)
+    hosts = Hosts(record, store.listener.address)
     try:
         await hosts.start(2)
-        status, _ = await hosts.call("POST", f"/batch/{JOB}", BODY)
+        status, _ = await hosts.call("POST", f"/batch/{LASTING}", LASTING_BODY)
         if status != OK:
             return NOT_RUN
-        # Both tasks are at work for longer than ``notice-ms`` before the wave.
-        await asyncio.sleep(8)
-        places = [fleet.where(task) for task in TASKS]
-        if not all(places):
-            return NOT_RUN
-        machines = [each.machine for each in places if each]
-        record.add("tasks", machines=machines)
-        if troubled():
-            cloud.wave = {
-                "wave": 1,
-                "machines": machines,
-                "duration-s": 20,
-                "max-count": 2,
-            }
-            record.add("wave", **cloud.wave)
-            await store.put("op", "wave/1", cloud.wave)
-        await asyncio.sleep(30)
-        state = await hosts.call("GET", f"/batch/{JOB}")
-        record.add("upkeeps", begun=cloud.begun, state=state)
-        return BROKEN if _broken(record, fleet, cloud) else HELD
+        await asyncio.sleep(10)
+        for number, job in enumerate(JOBS):
+            queue = "fast" if number % 2 else "batch"
+            status, _ = await hosts.call(
+                "POST", f"/{queue}/{job}", BODY, headers=TENANT_B
+            )
+            if status != OK:
+                return NOT_RUN
+            await asyncio.sleep(1)
+        await asyncio.sleep(FINISH_S)
+        idle_s = await _watch(record, fleet)
+        for number, job in enumerate(JOBS):
+            queue = "fast" if number % 2 else "batch"
+            await hosts.call("GET", f"/{queue}/{job}", headers=TENANT_B)
+        return BROKEN if idle_s > IDLE_S else HELD
     finally:
         await hosts.close()
         await fleet.close()
-        await cloud.close()
         await store.close()
 
 
-def _broken(record: Record, fleet: Fleet, cloud: MachineApi) -> bool:
-    """Return whether an upkeep ended a task while as many others as may miss were away.
+async def _watch(record: Record, fleet: Fleet) -> float:
+    """Return the longest time for which a job had nothing running beside free room.
 
-    A task that an order has ended counts as away until it is at work again, which is
-    when its percentage is 100.
+    A job that has started once counts as served; each has one task.
     """
-    broken = False
-    for at, machine, tasks in cloud.begun:
-        for task in (each for each in tasks if each in TASKS):
-            away = [
-                other for other in TASKS if other != task and _away(fleet, other, at)
-            ]
-            record.add("upkeep-ends", machine=machine, task=task, away=away)
-            broken = broken or len(away) >= MAY_MISS
-    return broken
-
-
-def _away(fleet: Fleet, task: str, at: float) -> bool:
-    """Return whether a task had ended and was not at work again at a time."""
-    starts = [when for when, name, *_ in fleet.starts if name == task and when < at]
-    ends = [when for when, name, *_ in fleet.ends if name == task and when < at]
-    if not ends:
-        return False
-    return len(ends) >= len(starts) or at - starts[-1] < STARTUP_S
+    longest_s = 0.0
+    since: dict[str, float] = {}
+    until = record.now + WATCH_S
+    worst_use = 0.0
+    while record.now < until:
+        await asyncio.sleep(SAMPLE_S)
+        running = sum(len(each.runs) for each in fleet.executors.values())
+        # Each run takes one GPU, of which there are fewer than cores.
+        use = running / (WORKERS * WORKER_GPUS)
+        worst_use = max(worst_use, use)
+        started = {task.partition(".")[0] for _, task, _, _ in fleet.starts}
+        for job in JOBS:
+            if job in started or use >= 0.5:  # noqa: PLR2004
+                since.pop(job, None)
+                continue
+            since.setdefault(job, record.now)
+            longest_s = max(longest_s, record.now - since[job])
+    record.add(
+        "watched",
+        idle_s=round(longest_s, 1),
+        never_started=sorted(since),
+        largest_use=round(worst_use, 3),
+    )
+    return longest_s
 
 
 if __name__ == "__main__":
