Review case 12: a guarantee isn't reclaimed from lasting work

Lasting tasks of another tenant hold all 64 GPUs; an accepted urgent job within its tenant's guarantee has begun none of its tasks after 40 s (bound 2.9 s) and never will (rule RECLAIM).

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -22,7 +22,6 @@
 
 # The scripts start the cases at the root of the repository.
 ROOT = Path.cwd()
-KEY = "Token key-a"
 HOST = "jobs.example"
 TX_S = 0.003
 ROW_BYTES = 65_536
@@ -655,10 +654,10 @@
         self._record("SIGTERM", name)
         self._processes[name].send_signal(signal.SIGTERM)
 
-    async def call(self, method, path, body=None, name="host-0"):
-        """Make a client's call; repeat it while there is no certain answer."""
+    async def call(self, method, path, body=None, *, name="host-0", key="key-a"):
+        """Make a client's call."""
         url = f"http://127.0.0.1:{self._ports[name][0]}{path}"
-        headers = {"Host": HOST, "Authorization": KEY, "Timeout-Ms": "3000"}
+        headers = {"Host": HOST, "Authorization": f"Token {key}", "Timeout-Ms": "3000"}
         data = None if body is None else json.dumps(body)
         try:
             async with self.session.request(
@@ -672,10 +671,10 @@
         self._record("client", method, path, "->", status, document)
         return status, document
 
-    async def submit(self, path, body, name="host-0"):
+    async def submit(self, path, body, **options):
         """Hand in a job until it is accepted."""
         for _ in range(8):
-            status, _ = await self.call("POST", path, body, name)
+            status, _ = await self.call("POST", path, body, **options)
             if status == OK:
                 return
             await asyncio.sleep(1.0)
@@ -714,7 +713,10 @@
     "version": 1,
     "routes": [route("render", 1), route("fitcheck", 0, 2)],
     "services": [{"name": "pool", "rejects-overload": False, "spare": False}],
-    "tenants": [{"name": "a", "keys": ["key-a"], "guaranteed": {"gpu": 8}}],
+    "tenants": [
+        {"name": "a", "keys": ["key-a"], "guaranteed": {"gpu": 8}},
+        {"name": "b", "keys": ["key-b"], "guaranteed": {"gpu": 0}},
+    ],
     "limits": {"max-body-bytes": 262144},
 }
 
