--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -33,6 +33,7 @@
 UPKEEP_S = 2.0
 STARTUP_S = 0.3
 NO_ANSWER_S = 3600.0
+DECIDE_S, EACH_S, VALID_S = 0.05, 0.002, 5.0
 RESTORE_S = 0.1
 SAVE_S = 0.5
 OK = 200
@@ -388,6 +389,8 @@
             return self._answer()
         if present is not None or number <= self.closed.get(task, 0):
             return self._answer(409, reason="old")
+        if not self.fleet.has_ticket(task, self.name, body.get("ticket", "")):
+            return self._answer(409, reason="ticket")
         profile = self.fleet.profile(task, number)
         saved = body.get("saved", "")
         self.runs[task] = Run(task, number, profile, saved, time.monotonic())
@@ -436,6 +439,10 @@
         self.machines = {}
         self.states = {}
         self.events = []
+        # Jobs of queues with ``advice``, and until when the tickets are valid.
+        self.advised = set()
+        self.tickets = {}
+        self._advice_turn = asyncio.Lock()
         self.orders = []
         # Called with the machine whose upkeep begins.
         self.before_upkeep = lambda machine: None
@@ -516,6 +523,8 @@
         call = request.path.rpartition("/")[2]
         if call == "machines":
             return reply({"machines": [self._entry(name) for name in self.machines]})
+        if call == "advise":
+            return await self._advise(json.loads(await request.read()))
         if call != "machine-upkeep":
             return web.Response(status=404)
         body = json.loads(await request.read())
@@ -539,6 +548,25 @@
         await asyncio.sleep(0)
         return reply({})
 
+    async def _advise(self, body):
+        """Grant all executors that are asked for; one call at a time."""
+        workers = body["workers"]
+        async with self._advice_turn:
+            await asyncio.sleep(DECIDE_S + EACH_S * len(workers))
+        granted = [[each, f"t-{body['step']}-{each}"] for each in workers]
+        for each in workers:
+            self.tickets[body["step"], each] = time.monotonic() + VALID_S
+        self.note("advice", body["step"], len(workers))
+        return reply({"granted": granted, "valid-ms": int(VALID_S * 1000)})
+
+    def has_ticket(self, task, executor, ticket):
+        """Return whether a start may go ahead as far as the queue's policy goes."""
+        step = task.rpartition(".")[0]
+        if step.partition(".")[0] not in self.advised:
+            return True
+        valid = self.tickets.get((step, executor), 0.0) > time.monotonic()
+        return valid and ticket == f"t-{step}-{executor}"
+
     def _entry(self, name):
         executor = self.machines[name]
         entry = {"machine": name, "pool": "pool", "zone": "ruwi", "labels": ["a"]}
@@ -586,6 +614,7 @@
             "discovery": "platform",
             "heartbeat-ms": 1500,
             "orders": "invoke",
+            "advice": self._fleet.address,
             "timing-bounds": BOUNDS,
             "platform": {
                 "address": self._store.address,
@@ -711,7 +740,18 @@
 
 CONFIGURATION = {
     "version": 1,
-    "routes": [route("render", 1), route("fitcheck", 0, 2)],
+    "routes": [
+        route("render", 1),
+        route("fitcheck", 0, 2),
+        route("advised", 0, 2)
+        | {
+            "advice": {
+                "decide-ms": DECIDE_S * 1000,
+                "each-ms": EACH_S * 1000,
+                "valid-ms": VALID_S * 1000,
+            }
+        },
+    ],
     "services": [{"name": "pool", "rejects-overload": False, "spare": False}],
     "tenants": [
         {"name": "a", "keys": ["key-a"], "guaranteed": {"gpu": 8}},
