--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -319,7 +319,7 @@
                 "born": self.born,
                 "machine": self.machine,
                 "capacity": self.fleet.capacity,
-                "labels": ["a", self.rack],
+                "labels": [self.fleet.kinds.get(self.machine, "a"), self.rack],
             },
         )
 
@@ -433,11 +433,17 @@
 class Fleet:
     """Machines, their executors and the list of machines."""
 
-    def __init__(self, store, record, profile, capacity=None):
+    def __init__(self, store, record, profile):
         self.store, self.record, self.profile = store, record, profile
-        self.capacity = capacity or {"cpu": 32000, "mem-mb": 65536, "gpu": 8}
+        self.capacity = {"cpu": 32000, "mem-mb": 65536, "gpu": 8}
         self.machines = {}
+        # Kinds of the machines that are not of kind "a".
+        self.kinds = {}
         self.states = {}
+        # The interface of the machines: seconds before an answer arrives, and the time
+        # until which it answers 503.
+        self.slow_s = 0.0
+        self.busy_until = 0.0
         self.events = []
         # Jobs of queues with ``advice``, and until when the tickets are valid.
         self.advised = set()
@@ -470,9 +476,9 @@
                 await executor.end()
         await self._runner.cleanup()
 
-    async def _add(self, machine, rack):
+    async def _add(self, machine, rack, port=0):
         self._lives += 1
-        executor = Executor(self, f"x{self._lives:03d}", machine, rack)
+        executor = Executor(self, f"x{self._lives:03d}", machine, rack, port)
         self.machines[machine] = executor
         await executor.start()
 
@@ -508,7 +514,7 @@
         self.machines[machine], self.states[machine] = None, "down"
         self.spawn(executor.end(listed_s=3 * BEAT_S))
         await asyncio.sleep(down_s)
-        await self._add(machine, executor.rack)
+        await self._add(machine, executor.rack, executor.port)
         self.note("back", self.machines[machine].name, machine)
 
     async def _upkeep(self, machine):
@@ -521,6 +527,14 @@
 
     async def _handle(self, request):
         call = request.path.rpartition("/")[2]
+        if call != "advise" and time.monotonic() < self.busy_until:
+            return reply({}, 503)
+        answer = await self._answer(call, request)
+        if call != "advise":
+            await asyncio.sleep(self.slow_s)
+        return answer
+
+    async def _answer(self, call, request):
         if call == "machines":
             return reply({"machines": [self._entry(name) for name in self.machines]})
         if call == "advise":
@@ -569,7 +583,8 @@
 
     def _entry(self, name):
         executor = self.machines[name]
-        entry = {"machine": name, "pool": "pool", "zone": "ruwi", "labels": ["a"]}
+        entry = {"machine": name, "pool": "pool", "zone": "ruwi"}
+        entry["labels"] = [self.kinds.get(name, "a")]
         entry["capacity"] = self.capacity
         if executor is None:
             return entry | {"state": self.states[name]}
@@ -694,7 +709,7 @@
             ) as answer:
                 content = await answer.read()
                 status = answer.status
-        except aiohttp.ClientError as error:
+        except (aiohttp.ClientError, TimeoutError) as error:
             status, content = 0, repr(error).encode()
         document = json.loads(content) if status and content else {}
         self._record("client", method, path, "->", status, document)
@@ -761,7 +776,7 @@
 }
 
 
-async def run_case(folder, case, profile, *, hosts=3, machines=4, capacity=None):
+async def run_case(folder, case, profile, *, hosts=3, machines=4, kinds=None):
     """Start everything, run ``case`` and end all processes.
 
     :param case: called with the record, the store, the fleet and the hosts; returns
@@ -772,7 +787,8 @@
     with tempfile.TemporaryDirectory() as scratch:
         await store.start()
         await store.put("op", "config", CONFIGURATION)
-        fleet = Fleet(store, record, profile, capacity)
+        fleet = Fleet(store, record, profile)
+        fleet.kinds.update(kinds or {})
         await fleet.start(machines)
         processes = Hosts(record, store, fleet, os.environ.get("KEEP_LOGS") or scratch)
         try:
