--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -670,8 +670,8 @@
 
     async def wait_until_ready(self):
         """Wait until all hosts say that they are ready."""
-        for name in self._processes:
-            url = f"http://127.0.0.1:{self._ports[name][1]}/bilberryhitch/readyz"
+        for name in list(self._processes):
+            url = self._readiness_url(name)
             for _ in range(200):
                 try:
                     async with self.session.get(url) as answer:
@@ -679,10 +679,18 @@
                             break
                 except aiohttp.ClientError:
                     pass
+                if self._processes[name].poll() is not None:
+                    # Another program was faster on one of its ports.
+                    self._ports.pop(name, None)
+                    self.launch(name)
+                    url = self._readiness_url(name)
                 await asyncio.sleep(0.1)
             else:
                 raise CouldNotRun(f"{name} is not ready")
 
+    def _readiness_url(self, name):
+        return f"http://127.0.0.1:{self._ports[name][1]}/bilberryhitch/readyz"
+
     def leader(self):
         """Return the host that the row of the planner names."""
         lease = self._store.value("planner", "lease") or {}
