--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -315,6 +315,7 @@
                 "version": "v1",
                 "slots": 8,
                 "state": "ready",
+                "cold-remaining-ms": 0,
                 "sequence": self._beats,
                 "born": self.born,
                 "machine": self.machine,
@@ -439,6 +440,7 @@
         self.machines = {}
         # Kinds of the machines that are not of kind "a".
         self.kinds = {}
+        self.racks = {}
         self.states = {}
         # The interface of the machines: seconds before an answer arrives, and the time
         # until which it answers 503.
@@ -479,7 +481,7 @@
     async def _add(self, machine, rack, port=0):
         self._lives += 1
         executor = Executor(self, f"x{self._lives:03d}", machine, rack, port)
-        self.machines[machine] = executor
+        self.machines[machine], self.racks[machine] = executor, rack
         await executor.start()
 
     def at_work(self, job):
@@ -536,7 +538,8 @@
 
     async def _answer(self, call, request):
         if call == "machines":
-            return reply({"machines": [self._entry(name) for name in self.machines]})
+            machines = [self._entry(name) for name in self.machines]
+            return reply({"machines": machines, "next-token": None})
         if call == "advise":
             return await self._advise(json.loads(await request.read()))
         if call != "machine-upkeep":
@@ -584,7 +587,7 @@
     def _entry(self, name):
         executor = self.machines[name]
         entry = {"machine": name, "pool": "pool", "zone": "ruwi"}
-        entry["labels"] = [self.kinds.get(name, "a")]
+        entry["labels"] = [self.kinds.get(name, "a"), self.racks[name]]
         entry["capacity"] = self.capacity
         if executor is None:
             return entry | {"state": self.states[name]}
