--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -33,7 +33,7 @@
 UPKEEP_S = 2.0
 STARTUP_S = 0.3
 NO_ANSWER_S = 3600.0
-DECIDE_S, EACH_S, VALID_S = 0.05, 0.002, 5.0
+DECIDE_S, EACH_S, VALID_S = 0.1, 0.005, 5.0
 RESTORE_S = 0.1
 SAVE_S = 0.5
 OK = 200
@@ -276,6 +276,8 @@
         self.closed = {}
         self.lease_until = 0.0
         self.alive = True
+        # Until then it answers 503 to starts and does nothing.
+        self.refuses_until = 0.0
         self.born = int(time.time() * 1000)
         self.zero = time.monotonic() - 5.0
         self._beats = 0
@@ -373,6 +375,9 @@
             return self._answer(409, reason="fence")
         self.token = token
         if call == "run-start":
+            if time.monotonic() < self.refuses_until:
+                self.fleet.note("refuses", body["task"], body["run"], self.name)
+                return self._answer(503)
             return self._start(body)
         if call == "run-stop":
             return self._stop(body)
@@ -712,7 +717,9 @@
     async def call(self, method, path, body=None, *, name="host-0", key="key-a"):
         """Make a client's call."""
         url = f"http://127.0.0.1:{self._ports[name][0]}{path}"
-        headers = {"Host": HOST, "Authorization": f"Token {key}", "Timeout-Ms": "3000"}
+        headers = {"Host": HOST, "Timeout-Ms": "3000"}
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
         data = None if body is None else json.dumps(body)
         try:
             async with self.session.request(
@@ -769,6 +776,7 @@
     "routes": [
         route("render", 1),
         route("fitcheck", 0, 2),
+        route("open", 2, 2) | {"public": True},
         route("advised", 0, 2)
         | {
             "advice": {
