Review case 12: preemption empties a rack that the urgent job may not use

An urgent job with affinity to the last rack, in a service full of patient work, hasn't begun after 25 s (bound 2.9 s); 8 patient runs are stopped in the first rack, and the executor stays idle (rule RECLAIM). Control without affinity: 0.4 s.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -270,7 +270,6 @@
         self.port = port
         self.runs = {}
         self.ends = []
-        self.ended_at = {}
         self.sequence = 0
         self.token = 0
         self.closed = {}
@@ -351,7 +350,6 @@
         self.closed[run.task] = max(run.number, self.closed.get(run.task, 0))
         self.sequence += 1
         self.ends.append([self.sequence, run.task, run.number, how, run.saved])
-        self.ended_at[self.sequence] = time.monotonic()
         self.fleet.note(how, run.task, run.number, self.name)
 
     def _clock(self):
@@ -446,6 +444,7 @@
         # Kinds of the machines that are not of kind "a".
         self.kinds = {}
         self.racks = {}
+        self.lives = {}
         self.states = {}
         # The interface of the machines: seconds before an answer arrives, and the time
         # until which it answers 503.
@@ -487,6 +486,7 @@
         self._lives += 1
         executor = Executor(self, f"x{self._lives:03d}", machine, rack, port)
         self.machines[machine], self.racks[machine] = executor, rack
+        self.lives[executor.name] = rack
         await executor.start()
 
     def at_work(self, job):
@@ -499,15 +499,9 @@
             if run.task.startswith(job)
         }
 
-    def unnoted_ends(self, age_s):
-        """Return how many ends are older, and how many of these still wait."""
-        now = time.monotonic()
-        lives = [each for each in self.machines.values() if each is not None]
-        old = sum(now - at > age_s for each in lives for at in each.ended_at.values())
-        waiting = sum(
-            now - each.ended_at[end[0]] > age_s for each in lives for end in each.ends
-        )
-        return old, waiting
+    def rack_of(self, name):
+        """Return the rack of an executor that has been started."""
+        return self.lives[name]
 
     def spawn(self, work):
         """Run something in the background."""
