--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -4,6 +4,7 @@
 from bilberryhitch_telemetry import events, log
 
 from .advice import Permissions
+from .blame import Blame
 from .lost_work import LossCause, record_lost_work
 from .preemption import PendingPreemptions
 from .reports import (
@@ -44,6 +45,7 @@
     :ivar dirty: names of the jobs whose progress must be stored
     :ivar orders: orders to be sent
     :ivar ready: steps whose dependencies are done, by job, occurrence and step index
+    :ivar blame: tells the failures of workers from those of jobs
     :ivar preemptions: capacity that is being freed for urgent units
     :ivar permissions: permissions of the advice service, by the same key as ``ready``
     """
@@ -54,6 +56,7 @@
         self.dirty: set[str] = set()
         self.orders: list[Order] = []
         self.ready: dict[tuple[str, int, int], StepOccurrence] = {}
+        self.blame = Blame(self.workers)
         self.preemptions = PendingPreemptions()
         self.permissions: dict[tuple[str, int, int], Permissions] = {}
 
@@ -137,9 +140,9 @@
         worker.remove_run(run)
         record_lost_work(run, how, now)
         if how is EndKind.DONE:
-            worker.record_success()
+            self.blame.record_success(worker, self.jobs.get(run.task.job))
         elif how is EndKind.FAILED:
-            worker.record_failure(now)
+            self.blame.record_failure(worker, run, self.jobs.get(run.task.job), now)
         unit = run.unit
         if unit is None:
             return
@@ -333,7 +336,7 @@
             worker=run.worker,
             percent=run.percent,
         )
-        worker.record_failure(worker.answered_at)
+        self.blame.record_failure(worker, run, unit.step.job, worker.answered_at)
         for each in unit.runs.values():
             self.order_stop(each, LossCause.STALLED)
 
--- a/libs/planner/src/bilberryhitch_planner/crashes.py
+++ b/libs/planner/src/bilberryhitch_planner/crashes.py
@@ -58,8 +58,8 @@
 
     A worker that failed a short time ago may crash by itself.
     """
-    failed_for_s = worker.answered_at - worker.failed_at
-    sound = worker.failures == 0 or failed_for_s > FAILURE_MEMORY_S
+    failed_for_s = worker.answered_at - worker.health.failed_at
+    sound = worker.health.failures == 0 or failed_for_s > FAILURE_MEMORY_S
     known = all(run.unit is not None for run in worker.runs.values())
     return sound and known and len({id(each.unit) for each in lost}) == 1
 
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -24,6 +24,7 @@
 from .headroom import UrgentDemand
 from .lost_work import LossCause
 from .ordering import steps_in_order
+from .quarantine import Quarantine
 from .release_log import Proof, log_release
 from .reports import (
     Advice,
@@ -43,6 +44,7 @@
 from .speeds import MachineSpeeds
 from .throttling import throttle_orders
 from .units import StepOccurrence, TrackedJob
+from .worker_health import WorkerHealth
 from .worker_losses import WorkerLosses
 from .worker_pool import WorkerPool
 from .workers import Worker
@@ -95,12 +97,12 @@
         self._guarantees = Guarantees()
         self._urgent_demand = UrgentDemand()
         self.headroom_sizes: dict[str, int] = {}
-        # By address: time at which the last worker ended there, and its failures.
-        self._recent_ends: dict[str, tuple[float, int]] = {}
+        # By address: time at which the last worker ended there, and its health.
+        self._recent_ends: dict[str, tuple[float, WorkerHealth]] = {}
         self._reservations: Reservations | None = None
         self._mean_work = MeanWork()
         self._pools: dict[str, WorkerPool] = {}
-        self._quarantined: dict[str, list[Worker]] = {}
+        self._quarantine = Quarantine()
         self.advice_requests: list[AdviceRequest] = []
 
     @property
@@ -261,12 +263,10 @@
             worker = Worker(entry, now)
             worker.lease_until = max(now, self._inherited_until)
             self._keep_worker(worker)
-            ended_at, failures = self._recent_ends.pop(
-                entry.address, (-RESTART_MEMORY_S, 0)
-            )
-            if now - ended_at < RESTART_MEMORY_S:
-                worker.failures = failures
-                worker.record_failure(now)
+            former = self._recent_ends.pop(entry.address, None)
+            if former is not None and now - former[0] < RESTART_MEMORY_S:
+                worker.health.inherit(former[1])
+                worker.health.record_crash(now)
         worker.registered = True
         worker.update_entry(entry)
         self.speeds.bind(worker)
@@ -320,7 +320,7 @@
             for address, ended in self._recent_ends.items()
             if now - ended[0] < RESTART_MEMORY_S
         }
-        self._recent_ends[worker.entry.address] = (now, worker.failures)
+        self._recent_ends[worker.entry.address] = (now, worker.health)
         self._losses.release_ended_worker(
             worker, known_at, now, unix_s, announced=announced
         )
@@ -409,7 +409,7 @@
             StartOutcome.NOT_SENT,
             StartOutcome.NO_ROOM,
         ):
-            worker.record_refusal(now)
+            worker.health.record_refusal(now)
         if run.unit is not None:
             run.unit.retry_at = now + START_RETRY_DELAY_S
             permissions = self._state.permissions_of(run.unit.step)
@@ -427,7 +427,7 @@
             log_release(worker, run, Proof.NOT_STARTED, now)
             self._state.release_run(worker, run, EndKind.STOPPED, "", now, unix_s)
         else:
-            worker.record_refusal(now)
+            worker.health.record_refusal(now)
             self._state.order_stop(run, LossCause.UNCERTAIN_START)
             self._state.stop_other_members(run)
 
@@ -525,13 +525,14 @@
 
         :param may_start: whether a run that is started now could get a lease
         """
+        self._state.blame.review(now)
         self._update_pools(now)
         self._guarantees.count(self.workers.values())
         round_ = SchedulingRound(
             self._state,
             self._guarantees,
             self._pools,
-            self._quarantined,
+            self._quarantine,
             previous=self._reservations,
             demand=self._urgent_demand,
             blocked=self.has_unsynced_workers and now < self._inherited_until,
@@ -552,12 +553,12 @@
         """Collect the workers that may get new runs, by service."""
         allowed = self.stored_roster - self.cordoned
         usable: dict[str, list[Worker]] = {}
-        self._quarantined = {}
+        quarantined: dict[str, list[Worker]] = {}
         for name, worker in self.workers.items():
             evacuated = worker.entry.data_centre in self.evacuated
             if name not in allowed or evacuated or not worker.sound(now):
                 continue
-            workers = usable if worker.usable(now) else self._quarantined
+            workers = usable if worker.usable(now) else quarantined
             workers.setdefault(worker.entry.service, []).append(worker)
         known = self._pools
         self._pools = {
@@ -566,6 +567,7 @@
             else WorkerPool(workers)
             for service, workers in usable.items()
         }
+        self._quarantine.update(quarantined, usable, now)
 
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue name."""
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -18,6 +18,7 @@
 )
 from .pool_usage import is_underused, mostly_idle, runs_suspect
 from .preemption import PreemptionPlan, plan_preemption
+from .quarantine import Quarantine
 from .reports import AdviceRequest, StartOrder
 from .reservations import Reservations
 from .roomy_workers import RoomyWorkers
@@ -57,7 +58,7 @@
     :param state: jobs, workers and runs; updated by the decisions
     :param guarantees: usage of each client account, counted for this round
     :param usable: workers that may get new runs, by service
-    :param quarantined: workers that failed too often a short time ago, by service
+    :param quarantine: workers that failed too often a short time ago
     :param previous: reservations of the previous round
     :param demand: demand of urgent work
     :param blocked: some workers have not listed their runs; units that an earlier
@@ -73,7 +74,7 @@
         state: ClusterState,
         guarantees: Guarantees,
         usable: Mapping[str, WorkerPool],
-        quarantined: Mapping[str, Sequence[Worker]],
+        quarantine: Quarantine,
         *,
         previous: Reservations | None,
         demand: UrgentDemand,
@@ -85,7 +86,7 @@
         self._state = state
         self._guarantees = guarantees
         self._usable = usable
-        self._quarantined = quarantined
+        self._quarantine = quarantine
         self._blocked = blocked
         self._now = now
         self._demand = demand
@@ -137,19 +138,23 @@
     def _pool_of(self, step: StepOccurrence) -> WorkerPool:
         """Return the workers that a step may use.
 
-        Quarantined ones are among them if a long-running unit waits for too long: they
-        may be sound, and the only ones with room.
+        Quarantined ones are among them if one of its units waits for too long: they may
+        be sound, and the only ones with room.
         """
         service = step.job.queue.service
         pool = self._usable.get(service, EMPTY_POOL)
-        quarantined = self._quarantined.get(service)
-        if quarantined is None or not step.step.long_running:
+        quarantined = self._quarantine.workers(service)
+        if not quarantined:
             return pool
-        waiting_since = min(unit.waiting_since for unit in step.waiting.values())
-        if self._now - waiting_since <= MAX_WAIT_S:
+        oldest = min(step.waiting.values(), key=lambda unit: unit.waiting_since)
+        if not self._passes_quarantine(oldest):
             return pool
         return WorkerPool([*pool.workers, *quarantined])
 
+    def _passes_quarantine(self, unit: Unit) -> bool:
+        """Return whether a unit may use quarantined workers."""
+        return self._quarantine.lets_in(unit, self._guarantees, self._now)
+
     def _place_tasks(
         self,
         step: StepOccurrence,
@@ -173,19 +178,19 @@
         if not units:
             return
         allowed = self._allowed_workers(units[0], pool.workers)
-        healthy = [worker for worker in allowed if not worker.suspect(self._now)]
+        first, *others = self._by_health(units[0], allowed)
         odds = self._odds(units[0])
-        choices = TaskPlacement(step, healthy, any_rack=any_rack, odds=odds)
-        only_suspects = False
+        choices = TaskPlacement(step, first, any_rack=any_rack, odds=odds)
         for unit in units:
             worker = choices.next_worker()
-            if worker is None and not only_suspects and len(healthy) < len(allowed):
+            while worker is None and others:
                 if self._waits_for_healthy(unit, pool):
                     return
-                only_suspects = True
-                choices = TaskPlacement(step, allowed, any_rack=any_rack, odds=odds)
+                choices = TaskPlacement(
+                    step, others.pop(0), any_rack=any_rack, odds=odds
+                )
                 worker = choices.next_worker()
-            if worker is None:
+            if worker is None or not self._may_use(unit, worker):
                 return
             self._start(unit, {unit.index: worker})
 
@@ -223,11 +228,13 @@
         overdue = self._is_overdue(unit, MAX_WAIT_S)
         lasting = unit.step.step.long_running
         may_share = lasting and self._is_overdue(unit, SHARING_WAIT_S)
+        passes_quarantine = self._passes_quarantine(unit)
         allows = self._state.preemptions.allows
         return [
             worker
             for worker in workers
             if (may_share or not worker.exclusive)
+            and (passes_quarantine or not worker.health.quarantined(self._now))
             and allows(worker, unit, self._now)
             and (guaranteed or overdue or self.reserved.allows(worker, unit))
             and (may_use_headroom or overdue or worker.entry.worker not in set_aside)
@@ -255,7 +262,7 @@
         """
         careful = unit.attempts_left <= 1 and bool(unit.failed_runs)
         if unit.isolated and not careful:
-            careful = any(not each.suspect(self._now) for each in pool.workers)
+            careful = bool(self._healthy(unit, pool.workers))
         since = unit.waiting_since if unit.alone_since is None else unit.alone_since
         return careful and self._now - since < SUSPECT_WAIT_S
 
@@ -277,7 +284,10 @@
         idle = [worker for worker in allowed if not worker.runs]
         members = self._place_among(unit, idle, pool, any_rack)
         waited_s = self._now - unit.alone_since
-        short = unit.step.step.long_running or mostly_idle(pool.workers)
+        quarantined = self._quarantine.workers(unit.step.job.queue.service)
+        short = unit.step.step.long_running or mostly_idle(
+            list(dict.fromkeys([*pool.workers, *quarantined]))
+        )
         limit_s = ISOLATION_WAIT_S if short else BUSY_ISOLATION_WAIT_S
         if members is not None or waited_s <= limit_s:
             return members
@@ -290,13 +300,44 @@
         self, unit: Unit, allowed: Sequence[Worker], pool: WorkerPool, any_rack: bool
     ) -> dict[int, Worker] | None:
         """Choose among workers; use those with a recent failure as a last resort."""
-        healthy = [worker for worker in allowed if not worker.suspect(self._now)]
-        members = self._choose(unit, healthy, pool, any_rack, with_suspects=False)
-        if members is not None or len(healthy) == len(allowed):
-            return members
-        if self._waits_for_healthy(unit, pool):
-            return None
-        return self._choose(unit, allowed, pool, any_rack, with_suspects=True)
+        first, *others = self._by_health(unit, allowed)
+        members = self._choose(unit, first, pool, any_rack, with_suspects=False)
+        for workers in others:
+            if members is not None or self._waits_for_healthy(unit, pool):
+                break
+            members = self._choose(unit, workers, pool, any_rack, with_suspects=True)
+        return members
+
+    def _healthy(self, unit: Unit, workers: Sequence[Worker]) -> list[Worker]:
+        """Return the workers without a recent failure, of any or of the unit's job."""
+        now, failures = self._now, unit.step.job.failures
+        return [
+            worker
+            for worker in workers
+            if worker.health.healthy(now)
+            and not failures.recent(worker.entry.worker, now)
+        ]
+
+    def _by_health(
+        self, unit: Unit, workers: Sequence[Worker]
+    ) -> list[Sequence[Worker]]:
+        """Return sets of workers to be tried in turn, each with those before it.
+
+        First come those without a recent failure, and quarantined ones last.
+        """
+        healthy = self._healthy(unit, workers)
+        if len(healthy) == len(workers):
+            return [healthy]
+        now = self._now
+        open_ = [worker for worker in workers if not worker.health.quarantined(now)]
+        return (
+            [healthy, open_, workers] if len(open_) < len(workers) else [healthy, open_]
+        )
+
+    def _may_use(self, unit: Unit, worker: Worker) -> bool:
+        """Return whether a unit may run on a worker that may be in quarantine."""
+        quarantined = worker.health.quarantined(self._now)
+        return not quarantined or self._passes_quarantine(unit)
 
     def _choose(
         self,
@@ -318,7 +359,7 @@
             return sum(
                 worker.free.gpu
                 for worker in self._unreserved_workers(unit, rack)
-                if with_suspects or not worker.suspect(self._now)
+                if with_suspects or worker.health.healthy(self._now)
             )
 
         step = unit.step.step
@@ -413,7 +454,10 @@
         ):
             return False
         candidates = [
-            each for each in workers if self._state.preemptions.allows(each, unit, now)
+            each
+            for each in workers
+            if self._state.preemptions.allows(each, unit, now)
+            and self._may_use(unit, each)
         ]
         preemption = self._plan_reclaim(unit, candidates)
         if preemption is None:
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -21,6 +21,7 @@
     UnitProgress,
 )
 
+from .job_failures import JobFailures
 from .machine_speed import StepLength
 from .runs import Run
 
@@ -222,6 +223,7 @@
     :ivar arrived_at: monotonic time of its acceptance; for inherited jobs estimated
         from the wall clock
     :ivar work: estimated work of one occurrence in core-seconds
+    :ivar failures: workers on which its runs have failed in a row
     """
 
     def __init__(
@@ -241,6 +243,7 @@
         self.revision = revision
         self.inherited = inherited
         self.arrived_at = arrived_at
+        self.failures = JobFailures()
         self._chains = _remaining_chains(request.steps)
         self.work = sum(
             step.task_count * step.estimate_s * core_equivalents(step)
--- a/libs/planner/src/bilberryhitch_planner/worker_losses.py
+++ b/libs/planner/src/bilberryhitch_planner/worker_losses.py
@@ -135,7 +135,7 @@
                 worker.entry.worker, lost, unix_s, certain=True, proof=proof
             )
         worker.last_end_sequence = 0
-        worker.record_failure(now)
+        worker.health.record_crash(now)
         for run in ended:
             log_release(worker, run, Proof.RESTARTED, now, known_at=sent_at)
             self._state.release_run(worker, run, EndKind.LAPSED, "", now, unix_s)
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -7,6 +7,7 @@
 from .machine_speed import UNKNOWN_SPEED_ERROR, MachineSpeed
 from .reports import WorkerEntry
 from .runs import Run, RunState
+from .worker_health import WorkerHealth
 
 if TYPE_CHECKING:
     from .crashes import LostTask
@@ -25,19 +26,6 @@
 HEARTBEAT_WAIT_S = 0.6
 # A worker that is silent for longer than its heartbeat takes and this gets no new runs.
 MAX_DELAY_S = 0.7
-# Consecutive failed runs after which a worker is quarantined.
-QUARANTINE_FAILURES = 2
-# A worker is avoided for this long after a failed run, as disturbances last several
-# seconds.
-SUSPECT_S = 4.0
-# First quarantine of a failing worker; doubled with each further failure.
-QUARANTINE_S = 2.0
-QUARANTINE_MAX_S = 8.0
-# Failures that are further apart than this are not consecutive. Long-running tasks
-# never end well, so nothing else resets the count of a worker that runs only such.
-FAILURE_MEMORY_S = 30.0
-# A worker that refuses a start is unhealthy for seconds rather than milliseconds.
-REFUSAL_PAUSE_S = 0.5
 
 
 class Worker:
@@ -54,9 +42,7 @@
     :ivar checked_at: time of the heartbeat reply for which stalled runs were looked for
     :ivar discovered_at: time at which this planner learned of it
     :ivar heartbeat_wait_s: how long it holds the present heartbeat open
-    :ivar paused_until: time until which it gets no new runs after a refusal
-    :ivar quarantined_until: time until which it gets none after failures, unless a
-        long-running unit waits for too long
+    :ivar health: what its failures and refusals show of it
     :ivar last_end_sequence: sequence number of the last applied ended run
     :ivar speed: expected speed now, 1.0 for an average or unknown worker
     :ivar speed_error: standard deviation of the logarithm of its speed
@@ -64,7 +50,6 @@
     :ivar clock_s: its clock at the last heartbeat reply, in seconds
     :ivar observed_s: its clock when its runs were last looked at for its speed
     :ivar started_ms: Unix time of its start in ms; 0 if unknown
-    :ivar failures: consecutive failed runs
     :ivar forecast: expected ends of its runs; None after they have changed
     :ivar lapsed: tasks that ran on it when its lease expired, until it answers again
     :ivar exclusive: nothing may be placed beside its runs
@@ -84,8 +69,7 @@
         self.checked_at = now
         self.discovered_at = now
         self.heartbeat_wait_s = HEARTBEAT_WAIT_S
-        self.paused_until = 0.0
-        self.quarantined_until = 0.0
+        self.health = WorkerHealth(now)
         self.last_end_sequence = 0
         self.speed = 1.0
         self.speed_error = UNKNOWN_SPEED_ERROR
@@ -93,8 +77,6 @@
         self.clock_s = 0.0
         self.observed_s = 0.0
         self.started_ms = 0
-        self.failures = 0
-        self.failed_at = now
         self.forecast: Forecast | None = None
         self.exclusive = False
         self.lapsed: list[LostTask] = []
@@ -113,7 +95,7 @@
 
     def usable(self, now: float) -> bool:
         """Return whether the worker may get new runs."""
-        return self.sound(now) and now >= self.quarantined_until
+        return self.sound(now) and not self.health.quarantined(now)
 
     def sound(self, now: float) -> bool:
         """Return whether it may get new runs if its failures are left out."""
@@ -122,7 +104,7 @@
             and self.synced
             and not self.entry.draining
             and now - self.answered_at < self.max_silence_s
-            and now >= self.paused_until
+            and not self.health.paused(now)
         )
 
     def active_since(self, time: float) -> bool:
@@ -131,10 +113,6 @@
             run.sent_at > time for run in self.runs.values()
         )
 
-    def suspect(self, now: float) -> bool:
-        """Return whether a run failed on the worker a short time ago."""
-        return self.failures > 0 and now - self.failed_at < SUSPECT_S
-
     def update_entry(self, entry: WorkerEntry) -> None:
         """Apply a changed registration, whose capacity may differ."""
         used = self.entry.capacity.minus(self.free)
@@ -197,22 +175,3 @@
         """
         until = now + MAX_LEASE_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
         self.lease_until = max(self.lease_until, until)
-
-    def record_failure(self, now: float) -> None:
-        """Count a failed run; quarantine the worker after several in a row."""
-        if now - self.failed_at > FAILURE_MEMORY_S:
-            self.failures = 0
-        self.failures += 1
-        self.failed_at = now
-        over = self.failures - QUARANTINE_FAILURES
-        if over >= 0:
-            pause = min(QUARANTINE_S * 2**over, QUARANTINE_MAX_S)
-            self.quarantined_until = max(self.quarantined_until, now + pause)
-
-    def record_success(self) -> None:
-        """Reset the failure count."""
-        self.failures = 0
-
-    def record_refusal(self, now: float) -> None:
-        """Pause the worker for a short time after it refused a start."""
-        self.paused_until = max(self.paused_until, now + REFUSAL_PAUSE_S)
--- a/libs/planner/tests/test_planner.py
+++ b/libs/planner/tests/test_planner.py
@@ -558,7 +558,6 @@
     harness.now = 60.0
     harness.send_heartbeat("w1")
     harness.add(request("fresh", step(gpu=8, gang=True), route=queue("batch", 2)))
-    harness.planner.workers["w1"].quarantined_until = 0.0
     assert [order.task.job for order in harness.plan_starts()] == ["fresh"]
 
 
--- a/libs/telemetry/src/bilberryhitch_telemetry/events.py
+++ b/libs/telemetry/src/bilberryhitch_telemetry/events.py
@@ -356,6 +356,14 @@
     "WARNING",
     "A worker lists its runs with another time of start; those of before are lost.",
 )
+JOB_JUDGED = Event(
+    3213,
+    "job_judged",
+    "WARNING",
+    "The failures of a job are its own fault, as it failed on most of the workers that"
+    " it was tried on, or count against the workers again.",
+    "Ask the caller what the job does.",
+)
 MACHINES_UNKNOWN = Event(
     3206,
     "machines_unknown",
