Let others have a worker that has refused a unit which is refused everywhere

Cause: each refused start paused its worker for 0.5 s, and its unit was tried again after 0.15 s. At the end of each pause the urgent units took all the room, were refused and paused the workers anew, so that no other unit ever found any.

Now the retry delay doubles up to 1.2 s, which is longer than the pause, and a unit that was refused three times in a row pauses no worker: it shows nothing of the next one.

test_a_job_whose_starts_are_refused_everywhere_leaves_the_workers_to_others failed before: the first other job had not begun when it was given up.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -173,6 +173,8 @@
         if how is EndKind.DONE and not step.step.long_running:
             self._complete(unit, number, now, unix_s)
             return
+        if how is not EndKind.STOPPED:
+            unit.failed_starts = 0
         if checkpoint and number == unit.last_run:
             unit.checkpoint = checkpoint
         if how is EndKind.FAILED and not step.step.long_running:
--- a/libs/planner/src/bilberryhitch_planner/planner.py
+++ b/libs/planner/src/bilberryhitch_planner/planner.py
@@ -43,14 +43,16 @@
 from .scheduling_round import SchedulingRound
 from .speeds import MachineSpeeds
 from .throttling import throttle_orders
-from .units import StepOccurrence, TrackedJob
+from .units import StepOccurrence, TrackedJob, Unit
 from .worker_health import WorkerHealth
 from .worker_losses import WorkerLosses
 from .worker_pool import WorkerPool
 from .workers import Worker
 
-# Delay before a unit is retried after a failed start.
-START_RETRY_DELAY_S = 0.15
+# Outcomes of a start after which a worker gets no new runs for a while.
+REFUSALS = frozenset(
+    {StartOutcome.REFUSED, StartOutcome.NOT_SENT, StartOutcome.NO_ROOM}
+)
 # A worker that starts at an address this soon after another one ended there may be
 # in a crash loop; it takes over the failure count.
 RESTART_MEMORY_S = 8.0
@@ -404,17 +406,15 @@
             outcome=str(outcome),
             certain=certain,
         )
-        if outcome in (
-            StartOutcome.REFUSED,
-            StartOutcome.NOT_SENT,
-            StartOutcome.NO_ROOM,
-        ):
-            worker.health.record_refusal(now)
         if run.unit is not None:
-            run.unit.retry_at = now + START_RETRY_DELAY_S
-            permissions = self._state.permissions_of(run.unit.step)
-            if outcome is StartOutcome.NO_TICKET and permissions is not None:
-                permissions.discard_ticket(order.worker)
+            self._delay_retry(run.unit, order, outcome, now)
+        unanswered = outcome is StartOutcome.UNKNOWN or not certain
+        refused = outcome in REFUSALS or (
+            unanswered and outcome is not StartOutcome.OLD
+        )
+        # A unit that others have refused before shows nothing of this worker.
+        if refused and not (run.unit and run.unit.often_refused):
+            worker.health.record_refusal(now)
         if outcome is StartOutcome.OLD:
             # The run has ended on the worker or can never start. The next heartbeat
             # reply shows which.
@@ -427,10 +427,18 @@
             log_release(worker, run, Proof.NOT_STARTED, now)
             self._state.release_run(worker, run, EndKind.STOPPED, "", now, unix_s)
         else:
-            worker.health.record_refusal(now)
             self._state.order_stop(run, LossCause.UNCERTAIN_START)
             self._state.stop_other_members(run)
 
+    def _delay_retry(
+        self, unit: Unit, order: StartOrder, outcome: StartOutcome, now: float
+    ) -> None:
+        """Put off the next start of a unit of which a run could not be started."""
+        unit.delay_retry(order.run, now)
+        permissions = self._state.permissions_of(unit.step)
+        if outcome is StartOutcome.NO_TICKET and permissions is not None:
+            permissions.discard_ticket(order.worker)
+
     def apply_stop_outcome(
         self, order: StopOrder, outcome: StopOutcome, *, now: float
     ) -> None:
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -25,6 +25,13 @@
 from .machine_speed import StepLength
 from .runs import Run
 
+# Delay before a unit is retried after a failed start, doubled with each further one in
+# a row. The longest exceeds the pause of a worker that refused a start, so that a unit
+# which is refused everywhere does not take each worker again as its pause ends.
+START_RETRY_DELAY_S = 0.15
+MAX_DOUBLINGS = 3
+# Starts in a row that could not be made after which the workers are not to blame.
+OFTEN_REFUSED_STARTS = 3
 # Weight of one accelerator, in cores, in the work of a task.
 CORES_PER_GPU = 8
 # Crashes of sound workers on which a task was alone after which it is given up.
@@ -54,6 +61,8 @@
     :ivar alone_since: monotonic time since which it waits for workers that run nothing
     :ivar reserved_since: monotonic time since which workers are reserved for it
     :ivar retry_at: monotonic time before which it is not started again
+    :ivar failed_start: number of the last run that could not be started
+    :ivar failed_starts: how many could not be started in a row
     :ivar waiting_since: monotonic time since which it has been ready to run
     """
 
@@ -64,6 +73,8 @@
         "crashes",
         "done",
         "failed_runs",
+        "failed_start",
+        "failed_starts",
         "index",
         "last_run",
         "placements",
@@ -90,6 +101,8 @@
         self.across_racks = False
         self.adopted = False
         self.retry_at = 0.0
+        self.failed_start = 0
+        self.failed_starts = 0
         self.alone_since: float | None = None
         self.reserved_since: float | None = None
         self.waiting_since = step.job.arrived_at
@@ -136,6 +149,22 @@
         no_attempts = bool(self.failed_runs) and self.attempts_left <= 0
         return no_attempts or self.crashes_workers
 
+    @property
+    def often_refused(self) -> bool:
+        """Whether several starts in a row could not be made."""
+        return self.failed_starts >= OFTEN_REFUSED_STARTS
+
+    def delay_retry(self, run: int, now: float) -> None:
+        """Put off the next start after a run that could not be started.
+
+        :param run: its number; several members of a gang may have failed to start
+        """
+        if run != self.failed_start:
+            self.failed_start = run
+            self.failed_starts += 1
+        delay_s = START_RETRY_DELAY_S * 2 ** min(self.failed_starts - 1, MAX_DOUBLINGS)
+        self.retry_at = now + delay_s
+
     @property
     def progress(self) -> UnitProgress:
         """Progress of the unit to be stored."""
--- a/libs/planner/tests/test_failing_jobs.py
+++ b/libs/planner/tests/test_failing_jobs.py
@@ -1,4 +1,4 @@
-"""Jobs that fail or stall wherever they run, beside sound ones.
+"""Jobs that fail, stall or are refused wherever they run, beside sound ones.
 
 Pattern: the workers are sound. A job fails on each worker that starts it and is started
 again and again. Other jobs must not be kept from the workers for that.
@@ -6,7 +6,7 @@
 
 import pytest
 from bilberryhitch_jobs import Resources
-from bilberryhitch_planner import EndKind, StartOrder, StopOrder
+from bilberryhitch_planner import EndKind, StartOrder, StartOutcome, StopOrder
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
     ended,
@@ -50,6 +50,7 @@
         self.harness = PlannerHarness(*entries, **options)
         self.fails = fails
         self.stalled = set()
+        self.refused = set()
         self.began_at = {}
         self.starts = []
         self._runs = {each.worker: {} for each in entries}
@@ -120,6 +121,9 @@
 
     def _start(self, order, name, key):
         job = order.task.job
+        if job in self.refused:
+            self.harness.answer_start(order, StartOutcome.REFUSED)
+            return
         self.began_at.setdefault(job, self.now)
         self.starts.append((self.now, order.task, name))
         self._runs[name][key] = (order, self.now)
@@ -234,6 +238,21 @@
         assert site.waited_s(f"sound{number}", began) < ALLOWED_S
 
 
+def test_a_job_whose_starts_are_refused_everywhere_leaves_the_workers_to_others():
+    """Guards against workers that are all kept from other jobs for good, as the starts
+    of one job are refused on each of them.
+    """
+    site = Site(names(8), fails_always)
+    site.refused.add("bad")
+    site.submit(request("bad", step(64), route=URGENT))
+    site.advance(10.0)
+    for number in range(5):
+        began = site.now
+        site.submit(request(f"sound{number}", step(), route=BATCH, account="b"))
+        site.advance(ALLOWED_S)
+        assert site.waited_s(f"sound{number}", began) < ALLOWED_S
+
+
 FAULTY = frozenset({"w0", "w1"})
 SOUND_JOBS = {
     "single tasks": step(6),
