Isolate a suspect again only after another crash

Cause: a task that may have crashed its worker runs alone for the first 2 s, so that nothing else is lost with it. The bound held for each run, not for the task: one that fails earlier begins anew, alone again, on one worker after the other, and eight of them kept eight workers for themselves.

Now a run that ends as failed, or whose worker answers 2 s after the order, clears its unit: the start did not crash the worker, which is all that isolation can show. Later runs wait for idle workers as before, but let others in. A further crash of a worker under the unit ends that, so a deadly task is isolated at each start that crashes.

test_suspects_that_fail_by_themselves_let_others_in failed before.

--- a/libs/planner/src/bilberryhitch_planner/cluster_state.py
+++ b/libs/planner/src/bilberryhitch_planner/cluster_state.py
@@ -146,6 +146,7 @@
         unit = run.unit
         if unit is None:
             return
+        unit.cleared = unit.cleared or how is EndKind.FAILED
         if unit.runs.get(run.task.ordinal) is run:
             del unit.runs[run.task.ordinal]
             unit.placements.pop(run.task.ordinal, None)
@@ -249,7 +250,7 @@
         )
         run.settled_at = now
         run.cpu_percent_known = False
-        run.exclusive = demand is None or (unit is not None and unit.isolated)
+        run.exclusive = demand is None or (unit is not None and unit.exclusive)
         worker.add_run(run)
         log(
             events.RUN_ADOPTED,
--- a/libs/planner/src/bilberryhitch_planner/crashes.py
+++ b/libs/planner/src/bilberryhitch_planner/crashes.py
@@ -75,6 +75,7 @@
         if each.proven:
             count = CrashCount()
         early = certain and each.early
+        each.unit.cleared = False
         each.unit.crashes[each.task_index] = CrashCount(
             count.total + 1,
             count.early + early,
--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -404,7 +404,7 @@
         for index, worker in members.items():
             name = worker.entry.worker
             run = Run(unit.task(index), unit.last_run, demand, name, unit, now)
-            run.exclusive = unit.isolated
+            run.exclusive = unit.exclusive
             unit.runs[index] = run
             unit.placements[index] = worker.placement
             worker.add_run(run)
--- a/libs/planner/src/bilberryhitch_planner/units.py
+++ b/libs/planner/src/bilberryhitch_planner/units.py
@@ -51,6 +51,8 @@
     :ivar failed_runs: numbers of the failed runs
     :ivar checkpoint: latest checkpoint; empty if there is none
     :ivar crashes: crashes of workers that its runs were on, by index of the task
+    :ivar cleared: since the last of them a run of it has begun without crashing its
+        worker
     :ivar placements: where its latest run was ordered, by index of the task; tasks
         whose run has ended are left out
     :ivar runs: runs that may exist, by index of the task
@@ -82,6 +84,7 @@
         "runs",
         "retry_at",
         "checkpoint",
+        "cleared",
         "step",
         "waiting_since",
     )
@@ -100,6 +103,7 @@
         self.runs: dict[int, Run] = {}
         self.across_racks = False
         self.adopted = False
+        self.cleared = False
         self.retry_at = 0.0
         self.failed_start = 0
         self.failed_starts = 0
@@ -127,12 +131,21 @@
 
     @property
     def isolated(self) -> bool:
-        """Whether it runs alone on its workers, as one of its tasks may crash them."""
+        """Whether it waits for idle workers, as one of its tasks may crash them."""
         return any(
             count.early or count.total >= ISOLATING_CRASHES
             for count in self.crashes.values()
         )
 
+    @property
+    def exclusive(self) -> bool:
+        """Whether nothing may be placed beside its next run.
+
+        A start without a crash shows what there is to be seen of a suspect. Another one
+        would keep others off its workers for no gain.
+        """
+        return self.isolated and not self.cleared
+
     @property
     def crashes_workers(self) -> bool:
         """Whether one of its tasks crashes workers, so that it cannot be done."""
--- a/libs/planner/src/bilberryhitch_planner/workers.py
+++ b/libs/planner/src/bilberryhitch_planner/workers.py
@@ -142,7 +142,10 @@
         for run in self.runs.values():
             if run.state is RunState.RUNNING and run.confirmed:
                 age_s = self.answered_at - run.ordered_at
-                run.exclusive = run.exclusive and age_s < after_s
+                if run.exclusive and age_s >= after_s:
+                    run.exclusive = False
+                    if run.unit is not None:
+                        run.unit.cleared = True
         exclusive = any(each.exclusive for each in self.runs.values())
         if exclusive is not self.exclusive:
             self.exclusive = exclusive
--- a/libs/planner/tests/test_failing_jobs.py
+++ b/libs/planner/tests/test_failing_jobs.py
@@ -5,7 +5,13 @@
 """
 
 import pytest
-from bilberryhitch_jobs import Resources
+from bilberryhitch_jobs import (
+    CrashCount,
+    JobProgress,
+    JobState,
+    Resources,
+    UnitProgress,
+)
 from bilberryhitch_planner import EndKind, StartOrder, StartOutcome, StopOrder
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
@@ -297,3 +303,21 @@
         site.advance(4.0)
     assert all(job.finished for job in site.harness.planner.jobs.values())
     assert sum(worker == "w0" for _, _, worker in site.starts) <= 24
+
+
+def test_suspects_that_fail_by_themselves_let_others_in():
+    """Guards against workers that are all kept from other jobs for good, as tasks that
+    may have crashed a worker run alone there, fail soon, and begin anew.
+    """
+    site = Site(names(8), fails_always)
+    wanted = lasting(8, max_tasks_per_worker=1)
+    job = request("bad", wanted, route=URGENT)
+    unit = UnitProgress(False, 1, crashes={0: CrashCount(1, 1)})
+    units = {(0, 0, index): unit for index in range(8)}
+    site.harness.add(job, JobProgress(JobState.RUNNING, job.account, units))
+    site.advance(10.0)
+    for number in range(5):
+        began = site.now
+        site.submit(request(f"sound{number}", step(), route=BATCH, account="b"))
+        site.advance(ALLOWED_S)
+        assert site.waited_s(f"sound{number}", began) < ALLOWED_S
