Do not let a gang that starts again wait 10 s for its rack anew

Cause: how long a gang waits for one rack, or that of its data, counted from its last end.

Now one that starts again more than 10 s after its step opened waits for 2 s, as a long-running one does. Before that the limit stays, as work far from its data takes three times as long.

test_a_gang_that_starts_again_does_not_wait_for_its_rack_as_long_as_before failed before.

--- a/libs/planner/src/bilberryhitch_planner/scheduling_round.py
+++ b/libs/planner/src/bilberryhitch_planner/scheduling_round.py
@@ -364,12 +364,16 @@
 
         step = unit.step.step
         groups = pool.locality_groups(step, workers)
-        wait_s = MAX_WAIT_S if step.long_running else LOCALITY_WAIT_S
+        restarted = unit.last_run > 0 and self._opened_long_ago(unit)
+        wait_s = MAX_WAIT_S if step.long_running or restarted else LOCALITY_WAIT_S
         across_racks = unit.across_racks or self._is_overdue(unit, wait_s)
         return place_gang(
             unit, workers, groups, free_gpus, across_racks=across_racks, odds=odds
         )
 
+    def _opened_long_ago(self, unit: Unit) -> bool:
+        return self._now - unit.step.opens_at > LOCALITY_WAIT_S
+
     def _odds(self, unit: Unit) -> Odds | None:
         """Return the odds of a unit by worker; None if speeds need not be weighed.
 
--- a/libs/planner/tests/test_bounded_waits.py
+++ b/libs/planner/tests/test_bounded_waits.py
@@ -279,6 +279,25 @@
     assert "gang" in starts_within(harness, limit_s)
 
 
+def test_a_gang_that_starts_again_does_not_wait_for_its_rack_as_long_as_before():
+    """Guards against a gang without a run for 10 s after each of its ends, while there
+    is room for it in other racks of an underused service.
+    """
+    harness = racks_with_full_first(gpu=0)
+    gang = step(2, gpu=4, gang=True, data_rack="r2")._replace(estimate_s=300.0)
+    harness.add(request("gang", gang, route=BATCH))
+    harness.now += ROUND_S
+    harness.send_all_heartbeats()
+    orders = [each for each in harness.start_all() if each.task.job == "gang"]
+    starts_within(harness, 12.0)
+    for sequence, order in enumerate(orders, 1):
+        end = ended(order, EndKind.LAPSED, sequence)
+        harness.send_heartbeat(order.worker, ended=[end])
+    full = step(2, gpu=8, long_running=True, required_label="r2")
+    harness.add(request("full2", full))
+    assert starts_within(harness, 3.0).keys() == {"full2", "gang"}
+
+
 def test_a_worker_of_long_running_tasks_is_not_quarantined_for_old_failures():
     """Guards against a worker that is closed for longer with each failure of a task
     that lasts, however long it worked before: nothing ends well there.
