Play waits beside jobs that fail, stall or are refused wherever they run

The worlds of test_no_endless_wait.py have sound jobs and crashing workers alone. Now 40 more have bad jobs too, half of all, and up to two takeovers, judged by the same rule. A takeover disturbs the calm as a crash does: the users' rule asks for 7 s without either.

--- a/libs/planner/tests/test_no_endless_wait.py
+++ b/libs/planner/tests/test_no_endless_wait.py
@@ -1,15 +1,18 @@
 """No wait without an end: random pools, jobs and crashes, judged by the rule for waits.
 
+Some worlds have jobs that fail or stall wherever they run, or whose starts are refused,
+and planners that are replaced.
+
 The oracle goes by the orders alone. While a job has nothing running, there is room for
 its next unit twice over and less than half of each resource is in use, it must start
 within 3 s; a long-running task however much is in use. The first holds once all jobs
-have been there for 14 s, the second after 7 s without a crash.
+have been there for 14 s, the second after 7 s without a crash or the loss of a planner.
 """
 
 import random
 
 import pytest
-from bilberryhitch_jobs import Resources
+from bilberryhitch_jobs import Resources, decode_progress, encode_progress
 from bilberryhitch_planner import EndKind, StartOrder, StartOutcome, StopOrder
 from bilberryhitch_testing.planner_harness import (
     CAPACITY,
@@ -24,6 +27,8 @@
 
 TRAFFIC_S, END_S, ROUND_S = 20.0, 45.0, 0.25
 FINISH_S, CALM_S, ALLOWED_S = 14.0, 7.0, 3.0
+# How long a planner waits at most for what an earlier one may have started.
+INHERITED_S = 12.0
 LASTING_START_S = 6.0
 QUEUES = (queue("urgent", 0), queue("long", 1), queue("batch", 2))
 
@@ -31,11 +36,19 @@
 class World:
     """Workers that carry out a planner's orders and crash at random moments.
 
+    :param bad_share: share of the jobs that do not run well on any worker
+    :param takeovers: number of times that the planner is replaced
     :ivar late: units that waited for too long, with the time at which that was seen
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, bad_share=0.0, takeovers=0):
         self.rng = random.Random(seed)
+        self.bad_rng = random.Random(seed + 1_000)
+        self.bad_share = bad_share
+        self.takeovers = takeovers
+        self.requests = {}
+        self.fail_s = {}
+        self.stalled, self.refused = set(), set()
         count = self.rng.randint(3, 10)
         self.names = [f"w{number}" for number in range(count)]
         self.harness = PlannerHarness(
@@ -50,7 +63,7 @@
         self.work_s = {}
         self.last_run_at = {}
         self.waits_since = {}
-        self.crashed_at = float("-inf")
+        self.disturbed_at = float("-inf")
         self.late = set()
 
     def play(self):
@@ -62,8 +75,14 @@
         crash_at = sorted(
             self.rng.uniform(1.0, TRAFFIC_S) for _ in range(self.rng.randint(0, 16))
         )
+        takeover_at = sorted(
+            self.bad_rng.uniform(1.0, TRAFFIC_S) for _ in range(self.takeovers)
+        )
         while self.harness.now < END_S:
             self.harness.now += ROUND_S
+            while takeover_at and takeover_at[0] <= self.harness.now:
+                takeover_at.pop(0)
+                self._take_over()
             while submit_at and submit_at[0] <= self.harness.now:
                 submit_at.pop(0)
                 self._submit(len(submit_at))
@@ -73,6 +92,9 @@
             self._return_workers()
             self._beat()
             self._carry_out(self.harness.plan())
+            if self.refused:
+                # A start that is refused is followed by another round at once.
+                self._carry_out(self.harness.plan())
             self._judge()
 
     def _submit(self, number):
@@ -95,14 +117,47 @@
         self.work_s[job] = (
             float("inf") if lasting else estimate_s * rng.choice([0.3, 1.0, 1.0, 4.0])
         )
-        self.harness.add(request(job, wanted, route=rng.choice(QUEUES)))
+        self.requests[job] = request(job, wanted, route=rng.choice(QUEUES))
+        self.harness.add(self.requests[job])
+        if self.bad_rng.random() < self.bad_share:
+            self._spoil(job)
+
+    def _spoil(self, job):
+        """Let a job fail or stall wherever it runs, or let its starts be refused."""
+        how = self.bad_rng.choice(["fails", "fails", "stalls", "refused"])
+        if how == "fails":
+            self.fail_s[job] = self.bad_rng.choice([0.25, 1.0, 5.0])
+        else:
+            (self.stalled if how == "stalls" else self.refused).add(job)
+
+    def _take_over(self):
+        """Replace the planner by one that knows what was stored and nothing else."""
+        former, now = self.harness.planner, self.harness.now
+        stored = {
+            name: decode_progress(name, encode_progress(job.progress()))
+            for name, job in former.jobs.items()
+            if job.started
+        }
+        self.harness = PlannerHarness(
+            inherited_revision=200, inherited_until=now + INHERITED_S
+        )
+        self.harness.now = now
+        for name in former.workers:
+            self.harness.planner.add_unregistered_worker(name, now=now)
+        for name, job in self.requests.items():
+            self.harness.add(job, stored.get(name))
+        for number, name in enumerate(self.names):
+            self.harness.planner.add_worker(entry(name, f"r{number // 3}"), now=now)
+        self.stops = []
+        # The loss of a planner disturbs as much as that of a worker.
+        self.disturbed_at = now
 
     def _crash(self):
         up = [name for name in self.names if name not in self.back_at]
         if len(up) < 2:
             return
         name = self.rng.choice(up)
-        self.crashed_at = self.harness.now
+        self.disturbed_at = self.harness.now
         self.back_at[name] = self.harness.now + self.rng.uniform(0.3, 2.0)
         self.runs[name], self.ends[name] = {}, []
 
@@ -126,12 +181,18 @@
             self.harness.send_heartbeat(name, listed, ends, born_ms=self.born[name])
 
     def _percent(self, order, since):
+        if order.task.job in self.stalled:
+            return 0.0
         elapsed_s = self.harness.now - since
         return min(100.0, 100.0 * elapsed_s / min(1e3, self.work_s[order.task.job]))
 
     def _end_done_runs(self, name):
         for key, (order, since) in list(self.runs[name].items()):
-            if self.harness.now - since >= self.work_s[order.task.job]:
+            job, elapsed_s = order.task.job, self.harness.now - since
+            if elapsed_s >= self.fail_s.get(job, float("inf")):
+                del self.runs[name][key]
+                self._list_end(name, order, EndKind.FAILED)
+            elif job not in self.stalled and elapsed_s >= self.work_s[job]:
                 del self.runs[name][key]
                 self._list_end(name, order, EndKind.DONE)
 
@@ -153,7 +214,7 @@
         for order in orders:
             if not isinstance(order, StartOrder):
                 continue
-            if order.worker in self.back_at:
+            if order.worker in self.back_at or order.task.job in self.refused:
                 self.harness.answer_start(order, StartOutcome.REFUSED)
                 continue
             now = self.harness.now
@@ -175,7 +236,7 @@
             )
         )
         for job in self.harness.planner.jobs.values():
-            if job.finished:
+            if job.finished or job.request.job in self.refused:
                 continue
             (units,) = (each.units.values() for each in job.steps.values())
             open_units = [unit for unit in units if not unit.done]
@@ -186,7 +247,7 @@
                     continue
                 if unit.step.step.long_running:
                     last = max(self.last_run_at.get(task, -1e9) for task in names[unit])
-                    calm = now - self.crashed_at > CALM_S - ALLOWED_S
+                    calm = now - self.disturbed_at > CALM_S - ALLOWED_S
                     wrong = calm and now - last > LASTING_START_S
                 else:
                     wrong = idle and underused and now > TRAFFIC_S + FINISH_S
@@ -231,6 +292,16 @@
     assert world.late == set()
 
 
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_no_unit_waits_without_an_end_beside_jobs_that_fail_everywhere(seed):
+    """Guards against failures, stalls, refusals and crashes that keep workers from
+    work without a bound in time, whatever jobs they come from, across takeovers.
+    """
+    world = World(seed, bad_share=0.5, takeovers=seed % 3)
+    world.play()
+    assert world.late == set()
+
+
 def test_the_oracle_rejects_a_wait_without_an_end():
     world = World(1)
     world.names = ["w0"]
