--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -14,9 +14,8 @@
 from .errors import MachinesUnknown, WorkerFenced
 from .leader_election import CALL_TIMEOUT_S
 from .planner import Planner
-from .preemption import stop_cost
 from .state_writer import StateWriter
-from .workers import Worker
+from .takedown import takedown_cost
 
 RECORD_TABLE = "upkeep"
 # Maintenance takes seconds. The list of machines is read once per period.
@@ -30,8 +29,8 @@
 # How long to wait for the store to write the record of an order; on a timeout the next
 # period tries again.
 FLUSH_TIMEOUT_S = 2.0
-# A long-running task is fully working at this percentage.
-FULLY_WORKING_PERCENT = 100.0
+# Longest time after which a call without an answer may still be carried out.
+LATE_ORDER_S = 10.0
 
 
 class Wave(NamedTuple):
@@ -97,17 +96,20 @@
     """State of one maintenance wave.
 
     :param ordered: machines that an earlier planner may have ordered down
+    :param now: monotonic time in seconds
     :ivar ordered: for each machine ordered down, the worker that ran on it then;
         empty for orders of an earlier planner
     :ivar draining: machines that get no new runs, and since which monotonic time
     """
 
-    def __init__(self, wave: Wave, ordered: Iterable[str]) -> None:
+    def __init__(self, wave: Wave, ordered: Iterable[str], now: float) -> None:
         self.wave = wave
         self.ordered = dict.fromkeys(ordered, "")
         # Since when a machine may have been taken down for the wave; None if by an
         # earlier planner, at an unknown time.
         self._first_sent_at: dict[str, float | None] = dict.fromkeys(self.ordered)
+        # When an order was last sent at the latest.
+        self._last_sent_at = dict.fromkeys(self.ordered, now)
         self.draining: dict[str, float] = {}
         self._begun: dict[str, float] = {}
         self._excluded: set[str] = set()
@@ -139,6 +141,7 @@
     def note_sending(self, machine: str, now: float) -> None:
         """Record that an order is sent."""
         self._first_sent_at.setdefault(machine, now)
+        self._last_sent_at[machine] = now
 
     def end_known_at(self, machine: str, sent_at: float, now: float) -> float | None:
         """Return when what ran on a machine had ended, by an order answered as begun.
@@ -162,6 +165,33 @@
         open_orders = self.ordered.keys() - self._begun.keys() - self._excluded
         return sorted(open_orders & machines.keys())
 
+    def withdraw(self, machine: str) -> bool:
+        """Take an order back if it was never sent.
+
+        :returns: whether it certainly had no effect
+        """
+        if machine in self._first_sent_at:
+            return False
+        self.ordered.pop(machine, None)
+        return True
+
+    def away(self, machines: Mapping[str, Machine], now: float) -> dict[str, set[str]]:
+        """Return the workers that its orders have ended, or may have, by machine.
+
+        An order without an answer counts until it is known to have had no effect, or
+        cannot have one any more.
+        """
+        late = {
+            name
+            for name in self.ordered.keys() - self._begun.keys()
+            if now - self._last_sent_at.get(name, now) > LATE_ORDER_S
+        }
+        return {
+            name: {self.ordered.get(name, ""), machines[name].worker}
+            for name in self._down(machines, now)
+            if name not in late or not machines[name].up
+        }
+
     def select(
         self,
         machines: Mapping[str, Machine],
@@ -244,6 +274,8 @@
         self._on_change = on_change
         self._wave_states: dict[int, WaveState] = {}
         self._done: set[int] = set()
+        # As last listed.
+        self._machines: Mapping[str, Machine] = {}
 
     async def run(self) -> None:
         """Carry out the waves until cancelled.
@@ -292,23 +324,26 @@
     ) -> None:
         wave_state = self._wave_states.get(wave.number)
         if wave_state is None:
-            wave_state = WaveState(wave, records.get(wave.number, ()))
+            ordered = records.get(wave.number, ())
+            wave_state = WaveState(wave, ordered, clock.steady_s())
             self._wave_states[wave.number] = wave_state
             self._state_writer.put(self._encode_status(wave.number, False))
             log(events.WAVE_BEGUN, wave=wave.number, machines=len(wave.machines))
         wave_state.wave = wave
+        self._machines = machines
         for name in wave_state.unanswered(machines):
-            if self._cost(machines[name]) is not None:
-                await self._order(wave_state, machines[name])
+            await self._order(wave_state, machines[name])
         due = wave_state.select(machines, self._cost, clock.steady_s())
         self._update_cordon(machines)
         for name in due:
+            # Each order may use up what the steps of the next machine can spare.
+            if self._cost(machines[name]) is None:
+                continue
             wave_state.ordered[name] = machines[name].worker
             # The order may take effect late, so it is recorded for a successor first.
             self._state_writer.put(wave_state.record_write)
-            if not await self._state_writer.flush(FLUSH_TIMEOUT_S):
-                continue
-            await self._order(wave_state, machines[name])
+            if await self._state_writer.flush(FLUSH_TIMEOUT_S):
+                await self._order(wave_state, machines[name])
         self._update_cordon(machines)
         if wave_state.complete(machines) and await self._state_writer.flush(
             FLUSH_TIMEOUT_S
@@ -318,7 +353,10 @@
             log(events.WAVE_DONE, wave=wave.number)
 
     async def _order(self, wave_state: WaveState, machine: Machine) -> None:
-        if not self._state_writer.lease_is_fresh:
+        """Send an order, unless the tasks on the machine must not end now."""
+        if not self._state_writer.lease_is_fresh or self._cost(machine) is None:
+            if wave_state.withdraw(machine.name):
+                self._state_writer.put(wave_state.record_write)
             return
         sent_at = clock.steady_s()
         wave_state.note_sending(machine.name, sent_at)
@@ -376,30 +414,12 @@
         worker = self._planner.workers.get(machine.worker)
         if worker is None:
             return 0.0
-        return takedown_cost(worker, clock.steady_s())
-
-
-def takedown_cost(worker: Worker, now: float) -> float | None:
-    """Return the lost work in core-seconds if a worker is taken down now.
-
-    :returns: None if that would leave a long-running step with more unavailable
-        tasks than its ``max_unavailable`` allows
-    """
-    cost = 0.0
-    steps = {}
-    for run in worker.runs.values():
-        if run.unit is None:
-            continue
-        step = run.unit.step
-        if step.step.long_running and step.step.max_unavailable:
-            steps[id(step)] = step
-        cost += stop_cost(run.unit, now)
-    for step in steps.values():
-        at_work = sum(
-            run.percent >= FULLY_WORKING_PERCENT and run.worker != worker.entry.worker
-            for unit in step.units.values()
-            for run in unit.runs.values()
-        )
-        if step.step.task_count - at_work > step.step.max_unavailable:
-            return None
-    return cost
+        now = clock.steady_s()
+        away = {
+            name
+            for wave_state in self._wave_states.values()
+            for other, workers in wave_state.away(self._machines, now).items()
+            if other != machine.name
+            for name in workers
+        }
+        return takedown_cost(worker, self._planner.workers, away, now)
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -7,8 +7,15 @@
 from bilberryhitch_jobs import RowSnapshot, RowWrite
 from bilberryhitch_jobs.errors import StoreUnknown
 from bilberryhitch_model import clock
-from bilberryhitch_planner import Machine, UpkeepOutcome, Wave, WorkerFenced
-from bilberryhitch_planner.upkeep import UpkeepController, WaveState, takedown_cost
+from bilberryhitch_planner import (
+    Machine,
+    RunningTask,
+    UpkeepOutcome,
+    Wave,
+    WorkerFenced,
+)
+from bilberryhitch_planner.takedown import takedown_cost
+from bilberryhitch_planner.upkeep import UpkeepController, WaveState
 from bilberryhitch_testing import run_virtual
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
@@ -33,7 +40,7 @@
 
 def test_no_more_machines_go_down_than_allowed():
     """Guards against too many machines down: one counts until it is certainly back."""
-    wave_state = WaveState(wave("a", "b"), ())
+    wave_state = WaveState(wave("a", "b"), (), 0.0)
     assert wave_state.select(machines_by_name("a", "b"), no_cost, 0.0) == ["a"]
     wave_state.ordered["a"] = "i-a"
     assert wave_state.select(machines_by_name("a", "b"), no_cost, 1.0) == []
@@ -45,7 +52,7 @@
 
 def test_an_order_of_an_earlier_planner_counts_until_its_result_is_known():
     """Guards against too many machines down: unanswered orders may take effect late."""
-    wave_state = WaveState(wave("a", "b"), ["a"])
+    wave_state = WaveState(wave("a", "b"), ["a"], 0.0)
     assert wave_state.select(machines_by_name("a", "b"), no_cost, 0.0) == []
     assert wave_state.unanswered(machines_by_name("a", "b")) == ["a"]
 
@@ -54,20 +61,20 @@
     """Guards against a wave reported complete too early or, after the removal of a
     machine, never.
     """
-    wave_state = WaveState(wave("a", "b"), ())
+    wave_state = WaveState(wave("a", "b"), (), 0.0)
     wave_state.apply_outcome("a", UpkeepOutcome.BEGUN, 0.0)
     assert not wave_state.complete(machines_by_name("a", "b"))
     assert wave_state.complete(machines_by_name("a"))
 
 
 def test_busy_machines_are_retried():
-    wave_state = WaveState(wave("a"), ["a"])
+    wave_state = WaveState(wave("a"), ["a"], 0.0)
     wave_state.apply_outcome("a", UpkeepOutcome.BUSY, 0.0)
     assert wave_state.select(machines_by_name("a"), no_cost, 1.0) == ["a"]
 
 
 def test_a_machine_drains_before_it_goes_down():
-    wave_state = WaveState(wave("a", "b", duration_s=20.0), ())
+    wave_state = WaveState(wave("a", "b", duration_s=20.0), (), 0.0)
     cost = {"a": 50.0, "b": 80.0}
     machines = machines_by_name("a", "b")
 
@@ -91,13 +98,13 @@
     harness.add(request("serving", long_running_step, route=queue("batch", 2)))
     harness.start_all()
     workers = harness.planner.workers
-    assert takedown_cost(workers["w1"], 1.0) is None
+    assert takedown_cost(workers["w1"], workers, (), 1.0) is None
     for worker in workers.values():
         for run in worker.runs.values():
             run.percent = 100.0
-    assert takedown_cost(workers["w1"], 1.0) is not None
+    assert takedown_cost(workers["w1"], workers, (), 1.0) is not None
     next(iter(workers["w2"].runs.values())).percent = 0.0
-    assert takedown_cost(workers["w1"], 1.0) is None
+    assert takedown_cost(workers["w1"], workers, (), 1.0) is None
 
 
 class FakeMachines:
@@ -287,6 +294,128 @@
     run_virtual(run_scenario())
 
 
+class ServingMachines(FakeMachines):
+    """Fake machines that note what each order leaves of a step that serves.
+
+    :param lost: number of orders without an answer
+    :param dropped: such orders have no effect
+    :ivar left: tasks that are at work, after each machine that was taken down
+    """
+
+    def __init__(self, names, lost=0, dropped=False):
+        super().__init__(names, lost)
+        self.dropped = dropped
+        self.left = []
+        self.began_at = {}
+        self.harness = PlannerHarness(*(entry(f"i-{name}") for name in names))
+
+    async def begin_upkeep(self, machine, wave, *, token):
+        if self.dropped and self.lost:
+            await asyncio.sleep(0.8)
+            self.lost -= 1
+            return UpkeepOutcome.UNKNOWN
+        if machine not in self.taken_down:
+            self.left.append(self._at_work(but=self.machines[machine].worker))
+        return await super().begin_upkeep(machine, wave, token=token)
+
+    async def serve(self, job):
+        """Let the workers start the tasks of a job and keep them at work."""
+        harness = self.harness
+        harness.send_all_heartbeats()
+        harness.add(job)
+        while True:
+            harness.now = clock.steady_s()
+            for each in self.machines.values():
+                if each.up:
+                    harness.planner.add_worker(entry(each.worker), now=harness.now)
+                    self._beat(each.worker)
+            for order in harness.start_all():
+                self.began_at[order.worker, order.task] = harness.now
+            await asyncio.sleep(0.2)
+
+    def _beat(self, worker):
+        listed = [
+            RunningTask(run.task, run.number, "", self._percent(run))
+            for run in self.harness.planner.workers[worker].runs.values()
+        ]
+        self.harness.send_heartbeat(worker, listed)
+
+    def _percent(self, run):
+        began_at = self.began_at.get((run.worker, run.task), clock.steady_s())
+        return min(100.0, 100.0 * (clock.steady_s() - began_at))
+
+    def _at_work(self, but):
+        up = {each.worker for each in self.machines.values() if each.up} - {but}
+        return sum(
+            self._percent(run) == 100.0
+            for name, worker in self.harness.planner.workers.items()
+            for run in worker.runs.values()
+            if name in up
+        )
+
+
+ONE_WAVE = (wave("a", "b", max_down=2, duration_s=0.0),)
+TWO_WAVES = (
+    wave("a", duration_s=0.0),
+    wave("b", duration_s=0.0)._replace(number=2),
+)
+
+
+@pytest.mark.parametrize("waves", [ONE_WAVE, TWO_WAVES], ids=["one wave", "two waves"])
+@pytest.mark.parametrize("lost", [0, 1, 3])
+def test_machines_with_tasks_of_one_step_go_down_one_after_the_other(waves, lost):
+    """Guards against a step without any task at work, of which one may be missing: each
+    of two orders would leave enough by itself.
+    """
+
+    async def run_scenario():
+        calls, writer = ServingMachines("abcd", lost), ImmediateStateWriter()
+        serving = step(2, long_running=True, max_unavailable=1, max_tasks_per_worker=1)
+        job = request("serving", serving, route=queue("batch", 2))
+        serves = asyncio.create_task(calls.serve(job))
+        await asyncio.sleep(3.0)
+        controller = upkeep(calls, writer, calls.harness, waves=lambda: waves)
+        running = asyncio.create_task(controller.run())
+        await asyncio.sleep(30.0)
+        running.cancel()
+        serves.cancel()
+        assert calls.taken_down == {"a", "b"}
+        assert calls.left == [1, 1]
+
+    run_virtual(run_scenario())
+
+
+def test_an_order_without_an_answer_counts_as_an_unavailable_task():
+    """Guards against a step without any task at work: an order that seemed to have no
+    effect is carried out late.
+    """
+
+    async def run_scenario():
+        calls = ServingMachines("abcd", lost=1_000, dropped=True)
+        serving = step(2, long_running=True, max_unavailable=1, max_tasks_per_worker=1)
+        job = request("serving", serving, route=queue("batch", 2))
+        serves = asyncio.create_task(calls.serve(job))
+        await asyncio.sleep(3.0)
+        ordered = set()
+        begin_upkeep = calls.begin_upkeep
+
+        async def note(machine, wave, *, token):
+            ordered.add(machine)
+            return await begin_upkeep(machine, wave, token=token)
+
+        calls.begin_upkeep = note
+        controller = upkeep(
+            calls, ImmediateStateWriter(), calls.harness, waves=lambda: ONE_WAVE
+        )
+        running = asyncio.create_task(controller.run())
+        await asyncio.sleep(30.0)
+        running.cancel()
+        serves.cancel()
+        assert len(ordered) == 1
+
+    run_virtual(run_scenario())
+
+
 @pytest.mark.parametrize("changed", [(), (wave("b"),)], ids=["withdrawn", "reduced"])
 def test_a_machine_that_is_no_longer_to_go_down_gets_work_again(changed):
     """Guards against workers that get no work for as long as the planner leads, as the
