Take down no worker that has not listed its runs

Now such a worker is not taken down before it has answered, or its lease has expired, 12 s after the takeover at the latest.

test_a_worker_that_has_not_listed_its_runs_yet_is_not_taken_down failed before.

--- a/libs/planner/src/bilberryhitch_planner/takedown.py
+++ b/libs/planner/src/bilberryhitch_planner/takedown.py
@@ -21,9 +21,11 @@
 
     :param workers: all workers by identifier
     :param away: identifiers of workers that an order has taken down, or may have
-    :returns: None if that would leave a long-running step with more unavailable tasks
-        than its ``max_unavailable`` allows
+    :returns: None if it may run tasks that are not known yet, or if that would leave a
+        long-running step with more unavailable tasks than ``max_unavailable`` allows
     """
+    if not worker.synced and now <= worker.lease_until:
+        return None
     cost = 0.0
     steps: dict[int, StepOccurrence] = {}
     for run in worker.runs.values():
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -354,6 +354,21 @@
         )
 
 
+def test_a_worker_that_has_not_listed_its_runs_yet_is_not_taken_down():
+    """Guards against a step without any task at work, right after a takeover: what an
+    earlier planner has started is not known until the worker lists it.
+    """
+    harness = PlannerHarness(entry("w1"), inherited_until=12.0)
+    workers = harness.planner.workers
+    harness.planner.add_unregistered_worker("w2", now=0.0)
+    assert takedown_cost(workers["w1"], workers, (), 1.0) is None
+    assert takedown_cost(workers["w2"], workers, (), 1.0) is None
+    # Its lease has expired, so nothing can run there.
+    assert takedown_cost(workers["w2"], workers, (), 12.1) == 0.0
+    harness.send_heartbeat("w1")
+    assert takedown_cost(workers["w1"], workers, (), 1.0) == 0.0
+
+
 ONE_WAVE = (wave("a", "b", max_down=2, duration_s=0.0),)
 TWO_WAVES = (
     wave("a", duration_s=0.0),
