Count a machine as back by a list that was read after its order only

More machines of a wave could be down than allowed: a machine counted as back 1 s after its order was answered if the list shows it as up, but the list may have been read before the order, when orders to others got no answer for 0.8 s each.

Now the request for the list has to be 1 s later than the answer.

test_a_machine_is_not_back_by_a_list_that_is_older_than_its_order failed before: four machines of three were down.

--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -175,11 +175,15 @@
         self.ordered.pop(machine, None)
         return True
 
-    def away(self, machines: Mapping[str, Machine], now: float) -> dict[str, set[str]]:
+    def away(
+        self, machines: Mapping[str, Machine], listed_at: float, now: float
+    ) -> dict[str, set[str]]:
         """Return the workers that its orders have ended, or may have, by machine.
 
         An order without an answer counts until it is known to have had no effect, or
         cannot have one any more.
+
+        :param listed_at: monotonic time at which the list of machines was requested
         """
         late = {
             name
@@ -188,7 +192,7 @@
         }
         return {
             name: {self.ordered.get(name, ""), machines[name].worker}
-            for name in self._down(machines, now)
+            for name in self._down(machines, listed_at)
             if name not in late or not machines[name].up
         }
 
@@ -197,13 +201,17 @@
         machines: Mapping[str, Machine],
         cost: Callable[[Machine], float | None],
         now: float,
+        listed_at: float | None = None,
     ) -> list[str]:
         """Return the machines to take down now; others start to drain.
 
         :param cost: returns the lost work in core-seconds if a machine is taken down
             now, or None if that is not allowed
+        :param listed_at: monotonic time at which the list of machines was requested; by
+            default now
         """
-        free = self.wave.max_down - len(self._down(machines, now))
+        down = self._down(machines, now if listed_at is None else listed_at)
+        free = self.wave.max_down - len(down)
         wanted = self.wave.machines & machines.keys()
         for name in [name for name in self.draining if name not in wanted]:
             del self.draining[name]
@@ -225,12 +233,15 @@
             if not lost_work or now - self.draining[name] >= self.drain_s
         ]
 
-    def _down(self, machines: Mapping[str, Machine], now: float) -> set[str]:
-        """Return the machines of the wave that are down or may be."""
+    def _down(self, machines: Mapping[str, Machine], listed_at: float) -> set[str]:
+        """Return the machines of the wave that are down or may be.
+
+        :param listed_at: monotonic time at which the list of machines was requested
+        """
         back = {
             name
             for name, begun_at in self._begun.items()
-            if now - begun_at >= LISTING_LAG_S
+            if listed_at - begun_at >= LISTING_LAG_S
             and name in machines
             and machines[name].up
         }
@@ -274,8 +285,9 @@
         self._on_change = on_change
         self._wave_states: dict[int, WaveState] = {}
         self._done: set[int] = set()
-        # As last listed.
+        # As last listed, and the monotonic time of the request for the list.
         self._machines: Mapping[str, Machine] = {}
+        self._listed_at = float("-inf")
 
     async def run(self) -> None:
         """Carry out the waves until cancelled.
@@ -292,6 +304,7 @@
             try:
                 if records is None:
                     records = await self._read_records()
+                listed_at = clock.steady_s()
                 listed = await self._calls.list_machines()
             except MachinesUnknown as error:
                 log(events.MACHINES_UNKNOWN, error=error, silent=0)
@@ -299,9 +312,10 @@
             except STORE_ERRORS as error:
                 log(events.DEPENDENCY_LOST, dependency="store", error=error)
                 continue
-            machines = {machine.name: machine for machine in listed}
+            self._machines = {machine.name: machine for machine in listed}
+            self._listed_at = listed_at
             for wave in waves:
-                await self._advance(wave, records, machines)
+                await self._advance(wave, records, self._machines)
 
     def _forget_withdrawn(self, requested: Container[int]) -> None:
         """Let work in again on the machines that drained for withdrawn waves."""
@@ -330,10 +344,9 @@
             self._state_writer.put(self._encode_status(wave.number, False))
             log(events.WAVE_BEGUN, wave=wave.number, machines=len(wave.machines))
         wave_state.wave = wave
-        self._machines = machines
         for name in wave_state.unanswered(machines):
             await self._order(wave_state, machines[name])
-        due = wave_state.select(machines, self._cost, clock.steady_s())
+        due = wave_state.select(machines, self._cost, clock.steady_s(), self._listed_at)
         self._update_cordon(machines)
         for name in due:
             # Each order may use up what the steps of the next machine can spare.
@@ -418,7 +431,9 @@
         away = {
             name
             for wave_state in self._wave_states.values()
-            for other, workers in wave_state.away(self._machines, now).items()
+            for other, workers in wave_state.away(
+                self._machines, self._listed_at, now
+            ).items()
             if other != machine.name
             for name in workers
         }
--- a/libs/planner/tests/test_upkeep.py
+++ b/libs/planner/tests/test_upkeep.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
-from bilberryhitch_jobs import RowSnapshot, RowWrite
+from bilberryhitch_jobs import RowSnapshot, RowWrite, StoreRow
 from bilberryhitch_jobs.errors import StoreUnknown
 from bilberryhitch_model import clock
 from bilberryhitch_planner import (
@@ -15,7 +15,7 @@
     WorkerFenced,
 )
 from bilberryhitch_planner.takedown import takedown_cost
-from bilberryhitch_planner.upkeep import UpkeepController, WaveState
+from bilberryhitch_planner.upkeep import RECORD_TABLE, UpkeepController, WaveState
 from bilberryhitch_testing import run_virtual
 from bilberryhitch_testing.planner_harness import (
     PlannerHarness,
@@ -108,7 +108,9 @@
 
 
 class FakeMachines:
-    """Fake machines whose maintenance takes half a second; replies may be lost."""
+    """Fake machines whose maintenance takes some time; replies may be lost."""
+
+    upkeep_s = 0.5
 
     def __init__(self, names, lost=0):
         self.machines = {name: Machine(name, f"i-{name}", True) for name in names}
@@ -126,7 +128,7 @@
         if machine not in self.taken_down:
             self.taken_down.add(machine)
             self.machines[machine] = self.machines[machine]._replace(up=False)
-            asyncio.get_running_loop().call_later(0.5, self._back, machine)
+            asyncio.get_running_loop().call_later(self.upkeep_s, self._back, machine)
         down = sum(not each.up for each in self.machines.values())
         self.max_down = max(self.max_down, down)
         if self.lost:
@@ -152,13 +154,13 @@
         return True
 
 
-def upkeep(calls, writer, harness, failures=0, waves=None):
+def upkeep(calls, writer, harness, failures=0, waves=None, records=()):
     left = iter([True] * failures)
 
     async def read(table, *, timeout_s):
         if next(left, False):
             raise StoreUnknown("rows", "lost")
-        return RowSnapshot((), 1)
+        return RowSnapshot(tuple(records), 1)
 
     return UpkeepController(
         SimpleNamespace(read=read),
@@ -369,6 +371,41 @@
     assert takedown_cost(workers["w1"], workers, (), 1.0) == 0.0
 
 
+def test_a_machine_is_not_back_by_a_list_that_is_older_than_its_order():
+    """Guards against too many machines down: the list was read before a machine went
+    down, and orders without an answer took seconds since.
+    """
+
+    class SlowMachines(FakeMachines):
+        upkeep_s = 5.0
+
+        async def begin_upkeep(self, machine, wave, *, token):
+            outcome = await super().begin_upkeep(machine, wave, token=token)
+            if machine == "a":
+                return outcome
+            await asyncio.sleep(0.8)
+            return UpkeepOutcome.UNKNOWN
+
+    async def run_scenario():
+        calls = SlowMachines("abcd")
+        four = wave("a", "b", "c", "d", max_down=3)
+        records = [StoreRow(RECORD_TABLE, "1", b'["a","b","c"]', 1)]
+        controller = upkeep(
+            calls,
+            ImmediateStateWriter(),
+            PlannerHarness(),
+            waves=lambda: (four,),
+            records=records,
+        )
+        running = asyncio.create_task(controller.run())
+        await asyncio.sleep(20.0)
+        running.cancel()
+        assert calls.taken_down == set("abcd")
+        assert calls.max_down == 3
+
+    run_virtual(run_scenario())
+
+
 ONE_WAVE = (wave("a", "b", max_down=2, duration_s=0.0),)
 TWO_WAVES = (
     wave("a", duration_s=0.0),
