Keep an order of upkeep that got no answer when its repetition finds the machine busy

More machines of a wave could be down than allowed, or more tasks of a step away: an order got no answer, its repetition was answered as busy (the machine was leaving, or down for another wave), and so the order counted as without effect. The first one may be carried out after that. The same held for orders of an earlier planner.

Now busy ends an order only if each attempt was answered; else it is repeated. The machine goes on to drain until then.

--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -113,6 +113,8 @@
         self.draining: dict[str, float] = {}
         self._begun: dict[str, float] = {}
         self._excluded: set[str] = set()
+        # Machines with an order that got no answer, which may still have an effect.
+        self._unanswered = set(self.ordered)
 
     @property
     def record_write(self) -> RowWrite:
@@ -132,10 +134,12 @@
             self._begun.setdefault(machine, now)
         elif outcome is UpkeepOutcome.NOT_OF_WAVE:
             self._excluded.add(machine)
-        elif outcome is UpkeepOutcome.BUSY:
-            # This order certainly had no effect.
+        elif outcome is UpkeepOutcome.UNKNOWN:
+            self._unanswered.add(machine)
+        elif outcome is UpkeepOutcome.BUSY and machine not in self._unanswered:
             self.ordered.pop(machine, None)
-        if outcome is not UpkeepOutcome.UNKNOWN:
+        settled = self._begun.keys() | self._excluded
+        if machine not in self.ordered or machine in settled:
             self.draining.pop(machine, None)
 
     def note_sending(self, machine: str, now: float) -> None:
