Know the next worker of a machine that an order may still end

A task could be taken for at work although an order of upkeep may still end it: the machine had come back, its new worker had started the task, and the list of machines, which may be 1 s old, still named the former worker.

Now the workers that registered for the machine since count as well.

--- a/libs/planner/src/bilberryhitch_planner/upkeep.py
+++ b/libs/planner/src/bilberryhitch_planner/upkeep.py
@@ -181,8 +181,8 @@
 
     def away(
         self, machines: Mapping[str, Machine], listed_at: float, now: float
-    ) -> dict[str, set[str]]:
-        """Return the workers that its orders have ended, or may have, by machine.
+    ) -> set[str]:
+        """Return the machines whose workers its orders have ended, or may have.
 
         An order without an answer counts until it is known to have had no effect, or
         cannot have one any more.
@@ -195,7 +195,7 @@
             if now - self._last_sent_at.get(name, now) > LATE_ORDER_S
         }
         return {
-            name: {self.ordered.get(name, ""), machines[name].worker}
+            name
             for name in self._down(machines, listed_at)
             if name not in late or not machines[name].up
         }
@@ -350,11 +350,13 @@
         wave_state.wave = wave
         for name in wave_state.unanswered(machines):
             await self._order(wave_state, machines[name])
-        due = wave_state.select(machines, self._cost, clock.steady_s(), self._listed_at)
+        due = wave_state.select(
+            machines, self._cost_now(), clock.steady_s(), self._listed_at
+        )
         self._update_cordon(machines)
         for name in due:
             # Each order may use up what the steps of the next machine can spare.
-            if self._cost(machines[name]) is None:
+            if self._cost_now()(machines[name]) is None:
                 continue
             wave_state.ordered[name] = machines[name].worker
             # The order may take effect late, so it is recorded for a successor first.
@@ -371,7 +373,8 @@
 
     async def _order(self, wave_state: WaveState, machine: Machine) -> None:
         """Send an order, unless the tasks on the machine must not end now."""
-        if not self._state_writer.lease_is_fresh or self._cost(machine) is None:
+        allowed = self._cost_now()(machine) is not None
+        if not allowed or not self._state_writer.lease_is_fresh:
             if wave_state.withdraw(machine.name):
                 self._state_writer.put(wave_state.record_write)
             return
@@ -427,18 +430,32 @@
             if name in machines
         )
 
-    def _cost(self, machine: Machine) -> float | None:
-        worker = self._planner.workers.get(machine.worker)
-        if worker is None:
-            return 0.0
-        now = clock.steady_s()
-        away = {
+    def _cost_now(self) -> Callable[[Machine], float | None]:
+        """Return a function that tells the cost of taking a machine down now.
+
+        It returns None where that is not allowed.
+        """
+        now, workers = clock.steady_s(), self._planner.workers
+        away = self._away(now)
+
+        def cost(machine: Machine) -> float | None:
+            worker = workers.get(machine.worker)
+            return takedown_cost(worker, workers, away, now) if worker else 0.0
+
+        return cost
+
+    def _away(self, now: float) -> set[str]:
+        """Return the workers that an order has ended, or may have."""
+        machines: set[str] = set()
+        away: set[str] = set()
+        for wave_state in self._wave_states.values():
+            down = wave_state.away(self._machines, self._listed_at, now)
+            machines |= down
+            away |= {wave_state.ordered.get(name, "") for name in down}
+        # A machine's next worker may have registered since the list was made.
+        away |= {
             name
-            for wave_state in self._wave_states.values()
-            for other, workers in wave_state.away(
-                self._machines, self._listed_at, now
-            ).items()
-            if other != machine.name
-            for name in workers
+            for name, worker in self._planner.workers.items()
+            if worker.entry.machine in machines
         }
-        return takedown_cost(worker, self._planner.workers, away, now)
+        return away | {self._machines[name].worker for name in machines}
